--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,6 +33,7 @@
 	Role     beechgrade.Role
 	Position float64 // on the clock, where HasPosition
 	HasPos   bool
+	WaitedMs float64 // for a connection
 }
 
 // Events is told of ends. The calls may come from within Start, Cancel and Probe.
@@ -92,6 +93,8 @@
 	store   *store // nil if it is not known
 	query   Query
 	until   float64
+	began   float64
+	written float64 // 0 until it has a connection
 	conn    *conn
 	timer   *deadline.Timer // its end
 	connect *deadline.Timer // the end of its wait for a connection
@@ -193,7 +196,7 @@
 // Start starts an attempt that ends by itself at until. One that must not run twice is spared connections that
 // would probably lose it.
 func (p *Pool) Start(id string, q Query, until float64, once bool, t Tag) slots.Ref {
-	a := &attempt{tag: t, id: id, query: q, until: until, once: once, store: p.stores[id]}
+	a := &attempt{tag: t, id: id, query: q, until: until, began: p.loop.Now(), once: once, store: p.stores[id]}
 	a.ref = p.attempts.Put(a)
 	p.begin(a)
 	return a.ref
@@ -330,6 +333,10 @@
 		p.events.ProbeEnded(a.id, o)
 		return
 	}
+	o.WaitedMs = p.loop.Now() - a.began
+	if a.written > 0 {
+		o.WaitedMs = a.written - a.began
+	}
 	p.events.AttemptEnded(a.tag, o)
 }
 
@@ -397,6 +404,7 @@
 		p.scratch = a.query.AppendQuery(p.scratch[:0], int(left))
 	}
 	c.written = p.loop.Now()
+	a.written = c.written
 	c.rested = c.written - c.since
 	c.sent = false // a write that fails has closed the connection when it returns
 	if c.c.Write(p.scratch) == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -61,6 +61,7 @@
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
 	actions  []beechgrade.Action
+	traces   tracer
 }
 
 // event is one that the router is yet to be told, with the time at which it happened.
@@ -79,12 +80,21 @@
 	tries  []try // by number
 	open   int
 	over   bool
+
+	// told in the log where it ends badly
+	class, group int
+	arrived      float64
+	repeat       bool
 }
 
 // try is an attempt; one that was skipped has no ref.
 type try struct {
-	store beechgrade.StoreID
-	ref   slots.Ref
+	store  beechgrade.StoreID
+	ref    slots.Ref
+	began  float64
+	waited float64 // for a connection
+	ended  float64 // 0 while it is out
+	result beechgrade.Result
 }
 
 // New makes the core of one pooler.
@@ -126,7 +136,8 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	ref := c.requests.Put(&request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client, query: q.Query, due: q.Due})
+	ref := c.requests.Put(&request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client,
+		query: q.Query, due: q.Due, class: class, group: q.Group, arrived: clock.Millis(now), repeat: q.Repeat})
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat}
 	if q.After > 0 {
@@ -144,6 +155,7 @@
 		return
 	}
 	q.over = true
+	c.trace(q, "gone")
 	c.release(ref, q)
 	c.tell(&beechgrade.Expired{ID: requestID(ref)})
 }
@@ -155,14 +167,16 @@
 		return
 	}
 	q.open--
-	store := q.tries[t.No].store
+	y := &q.tries[t.No]
+	y.ended, y.waited, y.result = c.loop.Now(), o.WaitedMs, o.Result
 	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
 		q.client.Served(o.Answer)
+		c.trace(q, "served")
 	}
 	final := q.over
 	c.release(t.Request, q)
-	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
+	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: y.store, Result: o.Result,
 		Final: final, Told: told(o)})
 }
 
@@ -255,10 +269,12 @@
 		}
 	case beechgrade.Refuse:
 		if q := c.conclude(a.ID); q != nil {
+			c.trace(q, "refused")
 			q.client.Refused(clock.Millis(a.Wait))
 		}
 	case beechgrade.Fail:
 		if q := c.conclude(a.ID); q != nil {
+			c.trace(q, "failed")
 			q.client.Failed()
 		}
 	case beechgrade.Probe:
@@ -306,7 +322,7 @@
 	if a.Wait != 0 {
 		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
 	}
-	q.tries = append(q.tries, try{store: a.Store})
+	q.tries = append(q.tries, try{store: a.Store, began: c.loop.Now()})
 	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
 		c.tell(&beechgrade.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: beechgrade.Skipped, Final: q.over})
 		return
