Let each cold member take different requests instead of all the same few

A request drew one luck and compared it at every cold member, so the 2 to 6% of requests that one cold server may take were the same ones at all 20. After a release of a whole group the others waited and were refused untried:

The luck is now shifted by the member's place in its group; what one server may be sent stays as it was.

--- a/router.go
+++ b/router.go
@@ -265,7 +265,7 @@
 // coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
 // Where that is less than a request, chance lets through what all together may send of what they are asked
 // for: a bucket of each would hold credit where nothing is asked, and writes would wait at an idle cold
-// primary.
+// primary. Each member takes a part of its own of the requests: after a release all are cold at once.
 func (r *Router) coldRoom(s *store, q *request) bool {
 	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
 		return true
@@ -273,7 +273,8 @@
 	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width / float64(r.set.Siblings)
 	depth := part/2*r.set.FallSpan.Seconds() - q.work()
 	if depth < 0 {
-		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
+		place := float64(slices.Index(q.group.members, s)) / float64(len(q.group.members))
+		return math.Mod(q.luck+place, 1)*r.flow/float64(max(1, len(r.gorder)))*r.work < part
 	}
 	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
 	s.coldSpentAt = r.now
--- a/router_test.go
+++ b/router_test.go
@@ -903,6 +903,45 @@
 	}
 }
 
+// TestColdMembersTakeDifferentRequests: after a release all members of a group are cold, and together they may take many
+// times what one may. Fails if each lets through the same few requests and all others wait.
+func TestColdMembersTakeDifferentRequests(t *testing.T) {
+	const members, warmUp, requests = 20, 500, 2000
+	set := testSettings()
+	set.Siblings, set.ColdTime = 80, 1000*time.Second
+	set.Classes[cAny].Deadline = 50 * ms
+	var entries []Entry
+	for i := range members {
+		entries = append(entries, Entry{Store: StoreID(fmt.Sprint("s", i)), Started: start})
+	}
+	g := newRig(t, set, entries...)
+	for _, s := range g.r.order {
+		s.coldFrom, s.rel = start-200*time.Second, 2 // about 0.36 of its capacity
+	}
+	part := coldMargin * set.FallMultiple * g.r.rateOf(g.r.order[0]) * width / float64(set.Siblings)
+	sent, each := 0, map[StoreID]int{}
+	for i := range warmUp + requests {
+		g.pass(20 * ms)
+		for _, a := range of(Send, g.ask(RequestID(fmt.Sprint(i)), cAny)) {
+			g.do(&Outcome{ID: a.ID, Store: a.Store, Result: Cancelled, Final: true})
+			if i >= warmUp {
+				sent++
+				each[a.Store]++
+			}
+		}
+	}
+	offered := 50 * g.r.work // a second
+	want := min(1, members*part/offered)
+	if got := float64(sent) / requests; got < 0.7*want || got > 1.3*want {
+		t.Errorf("sent %.2f of the requests, want about %.2f", got, want)
+	}
+	for s, n := range each {
+		if most := 2 * part / offered * requests; float64(n) > most {
+			t.Errorf("%s took %d, its part is %.0f", s, n, most/2)
+		}
+	}
+}
+
 // TestDrainedThenGoneStaysBarred: where only draining binds, a store seen draining and then listed as gone is
 // barred; one only listed as gone is not, and is forgotten once it has not answered for a while.
 func TestDrainedThenGoneStaysBarred(t *testing.T) {
