Keep reads off a primary that the writes of all routers fill

Reads that lagging replicas turn away went to the primary, which always qualifies. One of 80 routers seldom has a write in flight, so its cost showed nothing to spare there, and writes and fresh reads found no room:

Where routers are many, the work of all their writes and fresh reads is now judged by this router's own flow of them; few routers go on as before.

--- a/router.go
+++ b/router.go
@@ -250,16 +250,27 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
+// spare tells whether a primary has more than the writes and fresh reads of all routers need, judged by this
+// router's own. Reads can go elsewhere, they cannot; few routers see enough of them in flight to spare it by cost.
+func (r *Router) spare(s *store) bool {
+	if fewRouters >= r.set.Siblings {
+		return true
+	}
+	_, n := r.load(s)
+	return n+1+float64(r.set.Siblings)*r.musts/float64(max(1, len(r.gorder)))/r.rateOf(s) <= width*r.warmth(s)
+}
+
 // work is the request's expected work: its class's average, by its hint where it came with one.
 func (q *request) work() float64 { return q.class.work * q.size }
 
-// flowed counts n more requests and brings up to date this router's own flow of them a second, over a fading
-// memory.
-func (r *Router) flowed(n float64) {
+// flowed counts n more requests, and the work of those that only a primary takes, and brings up to date this
+// router's own flow of them a second, over a fading memory.
+func (r *Router) flowed(n, must float64) {
 	dt := (r.now - r.flowAt).Seconds()
 	keep := math.Exp(-dt / flowMemory.Seconds())
-	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
-	r.flow = r.sends / max(r.flowSpan, 1)
+	r.sends, r.mustWork = r.sends*keep+n, r.mustWork*keep+must
+	r.flowSpan, r.flowAt = r.flowSpan*keep+dt, r.now
+	r.flow, r.musts = r.sends/max(r.flowSpan, 1), r.mustWork/max(r.flowSpan, 1)
 }
 
 // coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
@@ -323,9 +334,11 @@
 		return nil
 	}
 	var best, next, sure *store
+	p := r.primary(q.group)
 	least, second, known := math.Inf(1), math.Inf(1), math.Inf(1)
 	for _, s := range q.group.members {
-		if !s.usable() || len(q.tries) < len(q.group.members) && q.tried(s) || !r.room(s, q) {
+		if !s.usable() || len(q.tries) < len(q.group.members) && q.tried(s) || !r.room(s, q) ||
+			s == p && !r.spare(s) {
 			continue
 		}
 		is, may := r.qualifies(s, q)
@@ -464,7 +477,11 @@
 		q.size = min(hintMost, hint/c.hint)
 	}
 	q.luck = r.rng.Float64()
-	r.flowed(1)
+	must := 0.0
+	if q.primaryOnly() {
+		must = q.work()
+	}
+	r.flowed(1, must)
 	r.reqs[q.id] = q
 	r.tend(q.group)
 	if len(q.group.held) > 0 || !r.place(q) {
@@ -939,7 +956,7 @@
 // store.
 func (r *Router) refresh() {
 	r.refreshAt = r.now + refreshEvery
-	r.flowed(0)
+	r.flowed(0, 0)
 	trust := rateMemory * r.work
 	step := func(want, got float64) float64 {
 		return min(rateStep, max(1/rateStep, (want+trust)/(got+trust)))
--- a/router_test.go
+++ b/router_test.go
@@ -942,6 +942,37 @@
 	}
 }
 
+// TestReadsSpareABusyPrimary: one of many routers seldom has a write in flight, yet the writes of all fill the primary. Fails
+// if reads that lagging replicas turn away all go there; without writes they may.
+func TestReadsSpareABusyPrimary(t *testing.T) {
+	for _, writes := range []bool{true, false} {
+		g := trio(t, func(set *Settings) { set.Siblings, set.Behind = 80, BehindWaits })
+		reads := 0
+		for i := range 300 {
+			class := cBounded
+			if i%10 == 0 && writes {
+				class = cUnsafe
+			}
+			g.pass(20 * ms)
+			for _, a := range of(Send, g.ask(RequestID(fmt.Sprint(i)), class)) {
+				if a.Store == "p" && class == cBounded && i >= 50 {
+					reads++
+				}
+				g.pass(10 * ms)
+				if a.Store == "p" {
+					g.end(a.ID, 0, a.Store, OK)
+					continue
+				}
+				g.do(&Outcome{ID: a.ID, Store: a.Store, Result: Missed, Final: true,
+					Told: Report{Role: RoleReplica, Position: g.now - 5*time.Second, HasPosition: true}})
+			}
+		}
+		if (reads == 0) != writes {
+			t.Errorf("writes %v: %d reads went to the primary", writes, reads)
+		}
+	}
+}
+
 // TestDrainedThenGoneStaysBarred: where only draining binds, a store seen draining and then listed as gone is
 // barred; one only listed as gone is not, and is forgotten once it has not answered for a while.
 func TestDrainedThenGoneStaysBarred(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -37,6 +37,8 @@
 	ways      map[int]way     // by zone
 	flow      float64         // own requests a second: so many, fading, over flowSpan seconds up to flowAt
 	sends     float64
+	musts     float64 // work a second of own requests that only a primary takes
+	mustWork  float64 // its sum, as sends
 	flowSpan  float64
 	flowAt    Time
 	loadTold  bool // reports tell how many requests a store holds
