Spread the parts of cold members evenly though members that left still count

Places by index over the count left a gap where servers that are gone stand first. Multiples of the golden ratio are spread evenly in any run of indices. A fault found by reading; no gain was measured for it alone.

--- a/router.go
+++ b/router.go
@@ -284,7 +284,7 @@
 	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width / float64(r.set.Siblings)
 	depth := part/2*r.set.FallSpan.Seconds() - q.work()
 	if depth < 0 {
-		place := float64(slices.Index(q.group.members, s)) / float64(len(q.group.members))
+		place := math.Phi * float64(slices.Index(q.group.members, s))
 		return math.Mod(q.luck+place, 1)*r.flow/float64(max(1, len(r.gorder)))*r.work < part
 	}
 	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
