Ration writes at a cold primary by their own flow, not that of all requests

The chance that lets a request through to a cold server is this router's part of the budget over what it is asked for. At a primary that counted reads too, which can go elsewhere, so writes waited untried for half of their patience:

--- a/router.go
+++ b/router.go
@@ -132,8 +132,7 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
 }
 
-// base is a store's rate when warm: its kind's, taught by all answers, times its own, for one router hears
-// little.
+// base is a store's rate when warm: its kind's, taught by all answers, times its own: one router hears little.
 func (r *Router) base(s *store) float64 { return r.pools[s.entry.Kind] * s.rel }
 
 func (r *Router) turn(s *store) Time { return seconds(r.work / r.rateOf(s)) }
@@ -180,7 +179,7 @@
 // average. One that seldom has a request out so goes round the members at the pace of their rates, from its
 // own place.
 func (r *Router) guess(s *store) float64 {
-	n := float64(r.set.Siblings-1) * r.flow / float64(max(1, len(r.gorder))) * s.part * r.work / r.rateOf(s)
+	n := float64(r.set.Siblings-1) * r.perGroup(r.flow) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
 	return n / (1 - use*use) // and what waits there, which grows with use
 }
@@ -230,8 +229,7 @@
 }
 
 // room tells whether a store can take one more: without making requests there too slow for the least aim, or,
-// where none is ours, this one. What finds no room waits here and can still go to whichever store frees
-// first.
+// where none is ours, this one. What finds no room waits here, for whichever store frees first.
 func (r *Router) room(s *store, q *request) bool {
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
@@ -250,6 +248,9 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
+// perGroup is a group's part of this router's own flow.
+func (r *Router) perGroup(flow float64) float64 { return flow / float64(max(1, len(r.gorder))) }
+
 // spare tells whether a primary has more than the writes and fresh reads of all routers need, judged by this
 // router's own. Reads can go elsewhere, they cannot; few routers see enough of them in flight to spare it by cost.
 func (r *Router) spare(s *store) bool {
@@ -257,14 +258,13 @@
 		return true
 	}
 	_, n := r.load(s)
-	return n+1+float64(r.set.Siblings)*r.musts/float64(max(1, len(r.gorder)))/r.rateOf(s) <= width*r.warmth(s)
+	return n+1+float64(r.set.Siblings)*r.perGroup(r.musts)/r.rateOf(s) <= width*r.warmth(s)
 }
 
 // work is the request's expected work: its class's average, by its hint where it came with one.
 func (q *request) work() float64 { return q.class.work * q.size }
 
-// flowed counts n more requests, and the work of those that only a primary takes, and brings up to date this
-// router's own flow of them a second, over a fading memory.
+// flowed counts n more requests, and the work of those that only a primary takes, over a fading memory.
 func (r *Router) flowed(n, must float64) {
 	dt := (r.now - r.flowAt).Seconds()
 	keep := math.Exp(-dt / flowMemory.Seconds())
@@ -285,7 +285,13 @@
 	depth := part/2*r.set.FallSpan.Seconds() - q.work()
 	if depth < 0 {
 		place := math.Phi * float64(slices.Index(q.group.members, s))
-		return math.Mod(q.luck+place, 1)*r.flow/float64(max(1, len(r.gorder)))*r.work < part
+		asked, musts := r.perGroup(r.flow)*r.work, r.perGroup(r.musts)
+		if s == r.primary(q.group) && q.primaryOnly() {
+			asked = musts
+		} else if s == r.primary(q.group) {
+			part -= musts // reads can go elsewhere
+		}
+		return math.Mod(q.luck+place, 1)*asked < part
 	}
 	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
 	s.coldSpentAt = r.now
@@ -326,15 +332,14 @@
 
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
+	p := r.primary(q.group)
 	if q.primaryOnly() {
-		p := r.primary(q.group)
 		if p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
 			return p
 		}
 		return nil
 	}
 	var best, next, sure *store
-	p := r.primary(q.group)
 	least, second, known := math.Inf(1), math.Inf(1), math.Inf(1)
 	for _, s := range q.group.members {
 		if !s.usable() || len(q.tries) < len(q.group.members) && q.tried(s) || !r.room(s, q) ||
@@ -710,8 +715,7 @@
 	}
 }
 
-// well takes a store back. One that refused connections for a while probably restarted, told or not, and is
-// cold.
+// well takes a store back. One that refused connections for a while probably restarted and is cold.
 func (r *Router) well(s *store) {
 	if s.health == down && s.refusedSince != 0 && r.now-s.refusedSince >= outage {
 		s.coldFrom = max(s.coldFrom, r.now)
@@ -727,8 +731,8 @@
 	s.health, s.badAt = down, r.now
 }
 
-// refused notes a connection that was refused or broke. Connections to healthy stores break too: only a
-// second one with no answer between takes the store out. A probe asks meanwhile.
+// refused notes a connection that was refused or broke. Healthy stores' break too: only a second one with no
+// answer between takes the store out. A probe asks meanwhile.
 func (r *Router) refused(s *store) {
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
--- a/router_test.go
+++ b/router_test.go
@@ -973,6 +973,37 @@
 	}
 }
 
+// TestWritesComeFirstAtAColdPrimary: a cold primary may take few of a group's requests, but as many as its writes are. Fails
+// if the ration is reckoned as though all reads wanted that primary too.
+func TestWritesComeFirstAtAColdPrimary(t *testing.T) {
+	g := trio(t, func(set *Settings) { set.Siblings, set.ColdTime = 80, 1000*time.Second })
+	p := g.r.stores["p"]
+	p.coldFrom = start - 200*time.Second // about 0.36 of its capacity
+	writes, sent := 0, 0
+	for i := range 2000 {
+		class := cAny
+		if i%50 == 0 {
+			class = cUnsafe
+		}
+		g.pass(20 * ms)
+		id := RequestID(fmt.Sprint(i))
+		for _, a := range of(Send, g.ask(id, class)) {
+			if class == cUnsafe && a.ID == id && i >= 500 {
+				sent++
+			}
+			g.do(&Outcome{ID: a.ID, Store: a.Store, Result: Cancelled, Final: true})
+		}
+		if class == cUnsafe && i >= 500 {
+			writes++
+		}
+		g.do(&Expired{ID: id})
+	}
+	part := coldMargin * g.r.set.FallMultiple * g.r.rateOf(p) * width / 80
+	if want := min(1, part/(g.r.work)); float64(sent) < 0.6*want*float64(writes) {
+		t.Errorf("%d of %d writes went out, want about %.2f of them", sent, writes, want)
+	}
+}
+
 // TestDrainedThenGoneStaysBarred: where only draining binds, a store seen draining and then listed as gone is
 // barred; one only listed as gone is not, and is forgotten once it has not answered for a while.
 func TestDrainedThenGoneStaysBarred(t *testing.T) {
