Keep the scale that works and rates share from running away

Both are learned from the same answers and nothing holds their common scale; the mean of a ratio lies above the ratio of the means, so chance drove it up.

A server that was never heard takes its kind's rate, so it looked far slower or faster than the others. A kind's rate is now the mean of its servers'.

--- a/router.go
+++ b/router.go
@@ -990,6 +990,7 @@
 	for kind, k := range kinds { // each on its own: the order does not matter
 		r.pools[kind] = min(rateMost, max(1/rateMost, r.pools[kind]*step(k[0], k[1])))
 	}
+	r.rescale()
 	// Stores that left, have not answered since for a while, and hold nothing of ours are forgotten.
 	r.order = slices.DeleteFunc(r.order, func(s *store) bool {
 		if s.gone == 0 || r.now-max(s.gone, s.answered) < goneKeep || len(s.open) > 0 {
--- a/router_test.go
+++ b/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
@@ -594,6 +595,33 @@
 	}
 }
 
+// TestScaleDoesNotRunAway: a minute of answers of uneven times. Fails if chance drives the rates of the stores that answer
+// away from the one that has never been heard, which then wins every read or none.
+func TestScaleDoesNotRunAway(t *testing.T) {
+	g := trio(t, nil)
+	g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "new"}}})
+	g.r.stores["new"].fullUntil = math.MaxInt64 // it stays unheard
+	rng := rand.New(rand.NewPCG(3, 3))
+	for i := range 6000 {
+		g.pass(beat)
+		id := RequestID(fmt.Sprint(i))
+		for _, a := range of(Send, g.ask(id, cAny)) {
+			g.pass(Time(rng.ExpFloat64() * float64(20*ms)))
+			g.end(a.ID, a.Attempt, a.Store, OK)
+		}
+	}
+	mean := 0.0
+	for _, s := range []StoreID{"p", "a", "b"} {
+		mean += math.Log(g.r.base(g.r.stores[s])) / 3
+	}
+	if off := math.Log(g.r.base(g.r.stores["new"])) - mean; math.Abs(off) > 0.1 {
+		t.Errorf("an unheard store is taken to be %.3g times as fast as the others", math.Exp(off))
+	}
+	if math.Abs(mean) > math.Log(2*scaleMost) {
+		t.Errorf("mean rate %.3g", math.Exp(mean))
+	}
+}
+
 // TestLostAnswersDoNotSlowTheRate: the rate follows the answers, not an attempt that they overtook.
 func TestLostAnswersDoNotSlowTheRate(t *testing.T) {
 	g := newRig(t, testSettings(), Entry{Store: "p"})
--- a/state.go
+++ b/state.go
@@ -183,6 +183,42 @@
 	}
 }
 
+// scaleMost is how far the mean rate may stray from 1, as a factor.
+const scaleMost = 8.0
+
+// rescale keeps the scale that rates and works share: no answer holds it, and chance drives it up. A kind's rate is the
+// mean of its heard stores', so that an unheard one takes that. No estimate changes against another.
+func (r *Router) rescale() {
+	all, n := 0.0, 0.0
+	kinds := map[int][2]float64{} // of the rates against their kind's: the logarithms' sum, how many
+	for _, s := range r.order {
+		if k := kinds[s.entry.Kind]; s.answered != never {
+			kinds[s.entry.Kind] = [2]float64{k[0] + math.Log(s.rel), k[1] + 1}
+			all, n = all+math.Log(r.base(s)), n+1
+		}
+	}
+	unit := math.Exp(all / max(1, n))
+	if unit < scaleMost && unit > 1/scaleMost {
+		unit = 1
+	}
+	for _, s := range r.order {
+		if k := kinds[s.entry.Kind]; s.answered != never {
+			s.rel /= math.Exp(k[0] / k[1])
+		}
+		s.coldSpent /= unit
+	}
+	for kind, k := range kinds { // each on its own: the order does not matter
+		r.pools[kind] *= math.Exp(k[0] / k[1])
+	}
+	for kind := range r.pools {
+		r.pools[kind] /= unit
+	}
+	for i := range r.classes {
+		r.classes[i].work /= unit
+	}
+	r.work, r.musts, r.mustWork = r.work/unit, r.musts/unit, r.mustWork/unit
+}
+
 // groupOf finds a group or files it.
 func (r *Router) groupOf(id int) *group {
 	g := r.groups[id]
