Keep long reads of any data together, so that most logs are not held up

A replica applies nothing while it holds a course-report. Spread evenly, each of 20 replicas held one half of the time, and all fell behind the bound of browse; a quarter of the attempts were misses, often in rows:

Such reads now cost more from member to member, in one order for all routers.

--- a/router.go
+++ b/router.go
@@ -42,6 +42,7 @@
 	lostLeast    = 3.0                    // ...or, where many are, fewer down to this...
 	lostPassed   = 3                      // ...and this many later ones were answered before it
 	lostMemory   = 300                    // attempts: memory of how many were lost
+	longRead     = 2.0                    // times the average work: a read so long holds up the log
 	repeatValue  = 0.2                    // a repeat's aim runs from its first try: mostly gone
 	probeDown    = 200 * time.Millisecond // between probes of a store thought down
 	probeSoon    = 4                      // probes that may fail before the pause grows
@@ -87,8 +88,7 @@
 		}
 	}
 	if r.wakeAt != never && r.now-r.wakeAt > stall {
-		// This router's own standstill must not count against stores: what was out has no measured time.
-		// Where it might hurt: a store that died meanwhile is called silent a little later.
+		// Our own standstill must not count against stores. One that died meanwhile is silent a little later.
 		r.wakeAt = r.now
 		r.blurOpen()
 	}
@@ -132,7 +132,7 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
 }
 
-// base is a store's rate when warm: its kind's, taught by all answers, times its own: one router hears little.
+// base is a store's rate when warm: its kind's, taught by all answers, times its own; one hears little.
 func (r *Router) base(s *store) float64 { return r.pools[s.entry.Kind] * s.rel }
 
 func (r *Router) turn(s *store) Time { return seconds(r.work / r.rateOf(s)) }
@@ -142,8 +142,7 @@
 // rateOf is the rate for one request alone now. A cold store's old good rate would win every pick otherwise.
 func (r *Router) rateOf(s *store) float64 { return r.base(s) * r.warmth(s) }
 
-// share is the part of the rate for one alone that each of n requests gets there: about width/n beyond width,
-// rounded at the corner because the number of cores is not told.
+// share is the part of the rate for one alone that each of n requests gets: about width/n beyond width.
 func share(n float64) float64 {
 	x := n * n / (width * width)
 	return 1 / math.Sqrt(math.Sqrt(1+x*x))
@@ -175,9 +174,8 @@
 	s.serviceAt = r.now
 }
 
-// guess is what the other routers are taken to have in flight at a store: each as much as this one on
-// average. One that seldom has a request out so goes round the members at the pace of their rates, from its
-// own place.
+// guess is what the other routers are taken to have in flight at a store: each as much as this one, on
+// average. One that seldom has a request out goes round the members at the pace of their rates, from its place.
 func (r *Router) guess(s *store) float64 {
 	n := float64(r.set.Siblings-1) * r.perGroup(r.flow) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
@@ -252,7 +250,7 @@
 func (r *Router) perGroup(flow float64) float64 { return flow / float64(max(1, len(r.gorder))) }
 
 // spare tells whether a primary has more than the writes and fresh reads of all routers need, judged by this
-// router's own. Reads can go elsewhere, they cannot; few routers see enough of them in flight to spare it by cost.
+// router's own. Reads can go elsewhere, they cannot; few routers see enough of them to spare it by cost.
 func (r *Router) spare(s *store) bool {
 	if fewRouters >= r.set.Siblings {
 		return true
@@ -298,8 +296,7 @@
 	return s.coldSpent <= depth
 }
 
-// qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
-// or because it was not asked for as long as it needs to catch up.
+// qualifies tells whether a store's data is known to be new enough, and whether it may be: by pace or time.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
 	need := q.need
 	if q.class.Read == ReadBounded {
@@ -351,6 +348,9 @@
 			continue
 		}
 		c, _ := r.cost(s, q)
+		if q.class.Read == ReadAny && q.class.work > longRead*r.work {
+			c *= 1 + r.rank(s)
+		}
 		if !is { // a wrong guess costs a turn; where stores do not check, they are asked first
 			c += (2 * r.set.Tick).Seconds() + r.price(q)
 		}
@@ -373,6 +373,18 @@
 	return sure
 }
 
+// rank orders a group's members, from 0 to 1, alike for all routers, the primary last. Long reads that take
+// any data hold up the log where they run: they fill member after member, so that the others keep up.
+func (r *Router) rank(s *store) float64 {
+	before := 0
+	for _, o := range s.group.members {
+		if s == r.primary(s.group) || o.usable() && o.id < s.id {
+			before++
+		}
+	}
+	return float64(before) / float64(len(s.group.members))
+}
+
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
 // ask probes a store for a request and tells whether to wait for that: because its position must be known, or
@@ -396,8 +408,7 @@
 	return r.now < q.askUntil
 }
 
-// spent tells that a request may not be sent again. One that may have run could otherwise apply twice:
-// an unsafe one at any time, a keyed one once its servers may have forgotten it.
+// spent tells that a request may not go again: if it may have run, an unsafe one never, a keyed one in time.
 func (r *Router) spent(q *request) bool {
 	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
 		q.maybe && (q.class.Effect == Unsafe ||
@@ -462,8 +473,7 @@
 		}
 	}
 	if e.Tenant >= 0 && e.Tenant < len(r.tenants) && r.set.Tenants[e.Tenant].Allowance > 0 {
-		// This router's part of the tenant's share, as a bucket of a second, or of some requests: clumps are
-		// no excess.
+		// This router's part of the tenant's share, as a bucket of a second or of some requests, for clumps.
 		t, rate := &r.tenants[e.Tenant], r.set.Tenants[e.Tenant].Allowance/float64(r.set.Siblings)
 		t.tokens = min(max(rate, tenantDepth), t.tokens+rate*(r.now-t.at).Seconds())
 		t.at = r.now
@@ -496,7 +506,7 @@
 }
 
 // closing tells that a request must have its answer before the next beat. One that no server has seen has
-// half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
+// half its time: a client told by then can still ask again.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
@@ -661,8 +671,7 @@
 	r.pump(s.group)
 }
 
-// loaded takes an answer as evidence of so many requests met there, unless our own explain them. Without it,
-// hundreds of routers with nothing there go on feeding a queue full of what will be late.
+// loaded takes an answer as evidence of so many requests met there, unless our own explain them.
 func (r *Router) loaded(s *store, met float64) bool {
 	n, _ := r.load(s)
 	if fewRouters*(len(s.open)+1) >= r.set.Siblings || met <= n {
@@ -704,8 +713,7 @@
 	}
 }
 
-// alive notes an answer to an attempt. One sent before the store was found bad shows that it had not died
-// till now, but not that it takes more.
+// alive notes an answer. One sent before the store was found bad does not show that it takes more.
 func (r *Router) alive(s *store, a *attempt) {
 	s.answered = r.now
 	if a.sent >= s.badAt || s.refusedSince == 0 {
@@ -742,8 +750,7 @@
 	}
 }
 
-// silent tells whether a store left its requests without an answer for longer than chance explains. Answered
-// probes do not count: they are answered beside the queue.
+// silent tells whether a store left requests unanswered for longer than chance explains. Probes do not count.
 func (r *Router) silent(s *store) bool {
 	first, n, longest := r.now, 0.0, r.work
 	for _, a := range s.open {
@@ -859,8 +866,7 @@
 	r.act(Action{Kind: Probe, Store: s.id})
 }
 
-// tend finds silent stores of a busy group, and probes those that are down, or all while a write waits for a
-// primary. What nobody asks for is not probed: probes have a price, times all routers.
+// tend finds silent stores of a busy group, and probes those down, or all while a write waits for a primary.
 func (r *Router) tend(g *group) {
 	p := r.primary(g)
 	seek := (p == nil || !p.usable()) && slices.ContainsFunc(g.held, (*request).primaryOnly)
@@ -893,9 +899,8 @@
 	}
 }
 
-// rescue frees requests from silent stores and from attempts mislaid, which had several times their work
-// while later ones were answered: by a second copy, else by calling the first off; nothing unsafe. What is
-// mislaid is no load.
+// rescue frees requests, none unsafe, from silent stores and from attempts mislaid, which had several times
+// their work while later ones were answered: by a second copy, else by calling the first off.
 func (r *Router) rescue(g *group) {
 	for _, s := range g.members {
 		for _, a := range slices.Clone(s.open) {
@@ -927,9 +932,8 @@
 	return (s.service - a.service) * r.base(s) / a.req.work()
 }
 
-// patience is what an attempt that later ones overtook may have had before it is taken for lost. Of those
-// answered, about exp(-x) take more than x times their work: where that is less than the part that is lost,
-// lost is likelier than slow.
+// patience is what an overtaken attempt may have had before it is taken for lost. About exp(-x) of others
+// take more than x times their work: where that is less than the part lost, lost is likelier than slow.
 func (r *Router) patience(g *group) float64 {
 	if len(g.held) > 0 { // copies would be at others' expense
 		return lostAfter
@@ -937,8 +941,7 @@
 	return min(lostAfter, max(lostLeast, -math.Log(r.losing)))
 }
 
-// countLost counts an attempt that ended towards the part that is lost. One called off early may have been
-// slow.
+// countLost counts an ended attempt towards the part that is lost. One called off early may have been slow.
 func (r *Router) countLost(s *store, a *attempt, res Result) {
 	lost := 0.0
 	switch {
--- a/router_test.go
+++ b/router_test.go
@@ -1087,6 +1087,40 @@
 	}
 }
 
+// TestLongReadsKeepTogether: a long read that takes any data holds up the log of the replica that runs it. Fails if such reads
+// spread over all replicas, so that all fall behind, or if they go to the primary.
+func TestLongReadsKeepTogether(t *testing.T) {
+	const cLong = cAny + 1
+	set := testSettings()
+	set.Siblings = 80
+	set.Classes = append(set.Classes, Class{Aim: 3 * time.Second, Deadline: 6 * time.Second, Worth: 4, Read: ReadAny})
+	var entries []Entry
+	for i := range 10 {
+		entries = append(entries, Entry{Store: StoreID(fmt.Sprint("s", i))})
+	}
+	long, short := map[StoreID]int{}, map[StoreID]int{}
+	for seed := range 20 { // as many routers
+		g := &rig{t: t, r: New(set, uint64(seed+1)), now: start}
+		g.do(&List{Kind: ListRestored, Entries: entries})
+		g.report("s0", RolePrimary, g.now)
+		for i := range 100 {
+			class, count := cAny, short
+			if i%10 == 9 {
+				class, count = cLong, long
+			}
+			g.pass(50 * ms)
+			for _, a := range of(Send, g.ask(RequestID(fmt.Sprint(i)), class)) {
+				count[a.Store]++
+				g.pass(20 * ms)
+				g.do(&Outcome{ID: a.ID, Store: a.Store, Result: Cancelled, Final: true})
+			}
+		}
+	}
+	if len(short) < 9 || long["s1"]+long["s2"] < 150 || long["s0"] > 0 {
+		t.Errorf("long reads by store: %v, others: %v", long, short)
+	}
+}
+
 // TestFailingStoreIsNotTheCheapest: quick failures leave a store idle, and an idle store costs least. Fails if failed
 // answers do not count.
 func TestFailingStoreIsNotTheCheapest(t *testing.T) {
