--- a/router.go
+++ b/router.go
@@ -175,7 +175,7 @@
 }
 
 // guess is what the other routers are taken to have in flight at a store: each as much as this one, on
-// average. One that seldom has a request out goes round the members at the pace of their rates, from its place.
+// average. One that seldom has a request out goes round the members at the pace of their rates.
 func (r *Router) guess(s *store) float64 {
 	n := float64(r.set.Siblings-1) * r.perGroup(r.flow) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
