Do not take a cut-off server in another zone for a slow way to it

A connection or probe into another zone that failed after 100 ms or more told nothing of the server and made its whole zone look dear. Six servers of group 2 that were cut off from 8 to 13 s stayed in use:

A request sent meanwhile into that zone and answered shows that the way is well.

--- a/router.go
+++ b/router.go
@@ -155,8 +155,7 @@
 
 // load is the number of requests at a store, ours but for those thought lost, and others': what was told of
 // them fades towards a guess, as many routers that each see an idle store would crowd it together. A guess
-// may steer, but not refuse: by evidence, it counts no more than if each other router had as many there as
-// this one.
+// may steer, but not refuse: as evidence, it counts no more than if each other router had as many there.
 func (r *Router) load(s *store) (likely, evident float64) {
 	own := float64(len(s.open) - s.lost)
 	fresh := r.fading(s.heardAt, 2*refreshEvery)
@@ -183,8 +182,7 @@
 }
 
 // cost is equation 2 of the paper: the read's own time at its max-min fair share plus the slowdown of this
-// router's requests there, each counted by its worth against the read's: so a primary full of writes is
-// spared.
+// router's requests there, each by its worth against the read's: so a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -217,7 +215,11 @@
 
 // wayTook notes the time of a probe or a failed connection, and tells whether the way may explain a failure.
 func (r *Router) wayTook(s *store, took Time) bool {
-	r.ways[s.entry.Zone] = way{(r.way(s) + took.Seconds()) / 2, r.now}
+	passed := r.ways[s.entry.Zone].passed
+	if passed > r.now-took { // others got through and back meanwhile: it is the store
+		return false
+	}
+	r.ways[s.entry.Zone] = way{(r.way(s) + took.Seconds()) / 2, r.now, passed}
 	return s.entry.Zone != r.set.Zone && took >= stall
 }
 
@@ -638,8 +640,7 @@
 			s.pace /= 2 // it is further behind than guessed
 		}
 	case Full, Unreachable, Failed, Reset:
-		// No proof that the store is down, as answers may be lost one by one: it costs more for a while. It
-		// is left alone for a turn, but not after a first failure: nothing else may serve.
+		// No proof that it is down: it costs more for a while, and after a second failure is left for a turn.
 		if e.Result == Unreachable && !r.wayTook(s, r.now-a.sent) && r.now-a.sent < stall {
 			r.refused(s)
 		} else if e.Result == Unreachable { // not refused at once: a probe tells whether it lives
@@ -671,7 +672,7 @@
 	r.pump(s.group)
 }
 
-// loaded takes an answer as evidence of so many requests met there, unless our own explain them.
+// loaded takes an answer as evidence of so many requests met, unless our own explain them.
 func (r *Router) loaded(s *store, met float64) bool {
 	n, _ := r.load(s)
 	if fewRouters*(len(s.open)+1) >= r.set.Siblings || met <= n {
@@ -715,7 +716,9 @@
 
 // alive notes an answer. One sent before the store was found bad does not show that it takes more.
 func (r *Router) alive(s *store, a *attempt) {
-	s.answered = r.now
+	w := r.ways[s.entry.Zone]
+	w.passed = max(w.passed, a.sent)
+	s.answered, r.ways[s.entry.Zone] = r.now, w
 	if a.sent >= s.badAt || s.refusedSince == 0 {
 		r.well(s)
 	} else {
@@ -731,7 +734,6 @@
 	s.refusedSince, s.probeFails, s.health = 0, 0, healthy
 }
 
-// bad takes a store out of the candidates.
 func (r *Router) bad(s *store) {
 	if s.health != down {
 		r.act(Action{Kind: Log, Text: "store " + string(s.id) + " down"})
@@ -786,8 +788,7 @@
 	s.probeFails = 0
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
-		// Reached, but beside its queue: requests have to prove it. What it held before may be gone and must
-		// not count as load: else an outage outlasts itself.
+		// Reached beside its queue: requests have to prove it. What it held may be gone and is no load.
 		r.well(s)
 		s.health = onTrial
 		s.loseOpen()
@@ -959,8 +960,7 @@
 }
 
 // refresh corrects rates from the last interval's answers: each kind's, then each store's. Requests out for
-// more than their work count, or a stopped store would keep its rate; not if overtaken: lost answers slow no
-// store.
+// more than their work count, or a stopped store would keep its rate; not if overtaken.
 func (r *Router) refresh() {
 	r.refreshAt = r.now + refreshEvery
 	r.flowed(0, 0)
--- a/router_test.go
+++ b/router_test.go
@@ -1204,6 +1204,37 @@
 	}
 }
 
+// TestCutOffStoreIsNoSlowWay: one store of another zone is cut off, so that connections and probes to it fail at their time
+// limit, while others there answer as ever. Fails if that passes for a slow way and the store stays in use.
+func TestCutOffStoreIsNoSlowWay(t *testing.T) {
+	g := newRig(t, testSettings(), Entry{Store: "a", Zone: 1}, Entry{Store: "b", Zone: 1})
+	a, b := g.r.stores["a"], g.r.stores["b"]
+	answer := func(id RequestID) { // by b, while a connection or a probe to a hangs
+		g.pass(20 * ms)
+		a.fullUntil = math.MaxInt64
+		g.wantSend(g.ask(id, cAny), id, "b")
+		a.fullUntil = 0
+		g.pass(20 * ms)
+		g.end(id, 0, "b", OK)
+		g.pass(210 * ms)
+	}
+	b.fullUntil = math.MaxInt64
+	g.wantSend(g.ask("lost", cAny), "lost", "a")
+	b.fullUntil = 0
+	answer("1")
+	g.end("lost", 0, "a", Unreachable)
+	for i := range 2 {
+		answer(RequestID(fmt.Sprint("then-", i)))
+		g.do(&ProbeResult{Store: "a", Result: Unreachable})
+	}
+	if a.health != down {
+		t.Errorf("health %v after a connection and two probes that failed", a.health)
+	}
+	if slow := g.r.way(b); slow > 0.05 {
+		t.Errorf("the way is taken to cost %v s", slow)
+	}
+}
+
 // TestReadTriesEveryMemberBeforeOneAgain: two members fail by turns. Fails if a read goes back and forth between them, or
 // if having asked for positions once it may ask no more.
 func TestReadTriesEveryMemberBeforeOneAgain(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -281,6 +281,7 @@
 
 // way is what the way to a zone took, as seen last.
 type way struct {
-	slow float64
-	at   Time
+	slow   float64
+	at     Time
+	passed Time // latest send into the zone that was answered
 }
