--- a/router.go
+++ b/router.go
@@ -508,8 +508,7 @@
 	}
 }
 
-// closing tells that a request must have its answer before the next beat. One that no server has seen has
-// half its time: a client told by then can still ask again.
+// closing tells that a request must have its answer before the next beat; one never sent, by half its time.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
@@ -673,8 +672,9 @@
 	r.pump(s.group)
 }
 
+// loaded takes an answer as evidence of so many requests met, unless our own explain them.
 func (r *Router) loaded(s *store, met float64) bool {
-	n, _ := r.load(s) // so many met are evidence, unless our own explain them
+	n, _ := r.load(s)
 	if fewRouters*(len(s.open)+1) >= r.set.Siblings || met <= n {
 		return false
 	}
