Read lists however they are laid out, and take a reset for no end

The list came indented; reply.body and reply.flush cut it at its line ends, and its first line, "{", is no list. Each failure also had the module subscribe anew and so gave up a watch that was well; what came between was heard late or not at all.

The same lines had two more faults: an answer without a length never ended (Closed told every end of a connection as a failure), and a list behind which the connection was reset had been taken over.

The answer to a call for the whole list counts once it has ended in order: by its last chunk, its length, or, where it has none, by the connection's end. gnet reports a reset with nothing left to read as an end (processIO), so the loop asks the socket.

Ruled out: want of a descriptor for discovery (549 of 640 in use; the calls came up); the outage before, whose failures read "status 503" and end at 8.7 s.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,7 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"net/http"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -111,7 +113,7 @@
 	conn   *loop.Conn
 	reply  reply
 	timer  *deadline.Timer
-	told   bool // a call that is not a watch has had its list
+	list   *List // that a call that is no watch has brought; it counts once the answer has ended in order
 	over   bool
 }
 
@@ -170,24 +172,35 @@
 		return
 	}
 	k.alive()
-	err := k.reply.feed(b, k.line)
-	switch {
-	case err != nil:
+	if err := k.reply.feed(b, k.value); err != nil {
 		k.end(err)
-	case k.reply.inBody && k.reply.status != 200:
+		return
+	}
+	if k.reply.inBody && k.reply.status != http.StatusOK {
 		k.end(fmt.Errorf("status %d", k.reply.status))
-	case k.reply.ended && k.watch:
+		return
+	}
+	if k.reply.ended {
+		k.finish()
+	}
+}
+
+// finish ends a call whose answer has come to its end.
+func (k *call) finish() {
+	switch {
+	case k.watch:
 		k.end(errors.New("the watch ended"))
-	case k.reply.ended && !k.told:
+	case k.list == nil:
 		k.end(errors.New("no list in the answer"))
-	case k.reply.ended:
+	default:
+		k.listed(k.list)
 		k.end(nil)
 	}
 }
 
-// line reads one list.
-func (k *call) line(b []byte) error {
-	if k.over || k.reply.status != 200 {
+// value reads one list.
+func (k *call) value(b []byte) error {
+	if k.over {
 		return nil
 	}
 	var l List
@@ -197,22 +210,37 @@
 	if len(l.Instances) > maxInstances || l.Generation < 0 {
 		return fmt.Errorf("list: generation %d with %d instances", l.Generation, len(l.Instances))
 	}
+	if k.list = &l; k.watch {
+		k.listed(&l)
+	}
+	return nil
+}
+
+// listed takes a list over.
+func (k *call) listed(l *List) {
 	c := k.client
-	k.told = true
 	c.gen = l.Generation
 	if c.moved && k.watch && !l.Reset { // changes since what? The list that is held is another's
 		c.Fetch()
 	}
 	c.moved = c.moved && !l.Reset
-	c.events.Listed(&l)
-	return nil
+	c.events.Listed(l)
 }
 
 // Closed is loop's.
 func (k *call) Closed(err error) {
 	k.conn = nil
+	if k.over {
+		return
+	}
 	if err == nil {
 		err = errors.New("connection closed")
 	}
+	if errors.Is(err, io.EOF) {
+		if err = k.reply.eof(); err == nil {
+			k.finish()
+			return
+		}
+	}
 	k.end(err)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"sync"
@@ -279,6 +280,11 @@
 func (l *Loop) OnClose(gc gnet.Conn, err error) gnet.Action {
 	defer l.enter()()
 	if c, ok := gc.Context().(*Conn); ok && !c.gone {
+		if errors.Is(err, io.EOF) { // gnet says so of a reset too, where there was nothing more to read
+			if no, e := unix.GetsockoptInt(gc.Fd(), unix.SOL_SOCKET, unix.SO_ERROR); e == nil && no != 0 {
+				err = unix.Errno(no)
+			}
+		}
 		c.h.Closed(err)
 		c.gone = true
 	}
