Let neither the watch nor the whole list take back what the other has told

Seen: reading call.listed and Client.Watch for two answers that cross. The whole list that a new address is asked for (Move) and the watch at the same address are worked on side by side, and each was taken over as it came: a whole list made before a change that the watch had brought set the drain back to up, and a change still on its way behind a whole list likewise. A call for the whole list that failed was never made again: the module then subscribes, and Watch took that for the subscription that Move had been ahead of (ahead stayed true), so the list of the old address stayed until the next change.

Now generations order them. One below what is held is dropped, on a fresh watch it says that discovery counts anew and the whole list is asked for. While no whole list has come from an address, a watch asks from the first generation, and a failed call ends ahead.

Ruled out: lists from the address before, whose calls are ended by Move and tell nothing after it.

Tests: TestWholeListCrossesTheWatch (told 5, want 0), TestWholeListOfANewAddressFails and TestCountsAnew (no call came) fail without the mend.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -59,7 +59,7 @@
 	gen    int64
 	watch  *call
 	fetch  *call // for the whole list
-	moved  bool  // no list has come from this address: gen is not its own
+	moved  bool  // no whole list has come from this address: what is held is not its own
 	ahead  bool  // the watch that is open was not asked for yet, but by Move
 }
 
@@ -95,7 +95,11 @@
 		c.watch = nil
 		old.end(nil)
 	}
-	c.watch = c.call(fmt.Sprintf("/v1/endpoints?watch=1&from=%d", c.gen), true)
+	from := c.gen
+	if c.moved {
+		from = 0
+	}
+	c.watch = c.call(fmt.Sprintf("/v1/endpoints?watch=1&from=%d", from), true)
 }
 
 // Fetch asks for the whole list once, unless that is being asked for.
@@ -114,6 +118,7 @@
 	reply  reply
 	timer  *deadline.Timer
 	list   *List // that a call that is no watch has brought; it counts once the answer has ended in order
+	told   bool  // it has brought a list that counts
 	over   bool
 }
 
@@ -150,6 +155,7 @@
 		c.watch = nil
 	}
 	if err != nil && wanted {
+		c.ahead = false // the watch asked for because of this has to bring what this did not
 		c.log.Info("discovery", "call", k.path, "err", err)
 		c.events.ListFailed()
 	}
@@ -218,7 +224,18 @@
 
 // listed takes a list over.
 func (k *call) listed(l *List) {
-	c := k.client
+	c, first := k.client, !k.told
+	k.told = true
+	switch {
+	case l.Generation >= c.gen || k.watch && l.Reset:
+	case !k.watch:
+		k.end(fmt.Errorf("generation %d, older than %d, which the watch has brought", l.Generation, c.gen))
+		return
+	case first:
+		c.moved = true // it counts anew, from what is not known
+	default:
+		return // a whole list that was asked for has overtaken it
+	}
 	c.gen = l.Generation
 	if c.moved && k.watch && !l.Reset { // changes since what? The list that is held is another's
 		c.Fetch()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -166,3 +166,63 @@
 		})
 	}
 }
+
+func line(generation int, reset bool) string {
+	l := fmt.Sprintf("{\"generation\":%d,\"reset\":%v}\n", generation, reset)
+	return fmt.Sprintf("%x\r\n%s\r\n", len(l), l)
+}
+
+// TestWholeListCrossesTheWatch: a watch and a call for the whole list are worked on side by side. A whole list that is older
+// than what the watch has brought would take that back, and a change that is older than a whole list, that list.
+func TestWholeListCrossesTheWatch(t *testing.T) {
+	r := newRig(t)
+	r.do(r.client.Watch)
+	watch := r.call(r.server, "/v1/endpoints?watch=1&from=4")
+	r.do(r.client.Fetch)
+	fetch := r.call(r.server, "/v1/endpoints")
+	r.say(watch, chunked+line(6, false))
+	r.next(6)
+	r.say(fetch, chunked+line(5, true)+"0\r\n\r\n")
+	r.next(0) // and not 5
+	r.do(r.client.Watch)
+	watch = r.call(r.server, "/v1/endpoints?watch=1&from=6")
+	r.say(watch, chunked+line(6, false))
+	r.next(6)
+	r.do(r.client.Fetch)
+	fetch = r.call(r.server, "/v1/endpoints")
+	r.say(fetch, chunked+line(8, true)+"0\r\n\r\n")
+	r.next(8)
+	r.say(watch, line(7, false)+line(9, false))
+	r.next(9) // and not 7
+}
+
+// TestWholeListOfANewAddressFails: until the whole list of a new address has come, what is held is another's. A call for it that
+// fails, while the watch stays open, is made good by the next watch.
+func TestWholeListOfANewAddressFails(t *testing.T) {
+	r := newRig(t)
+	second := listen(t)
+	r.do(func() { r.client.Move(second.Addr().String()) })
+	watch := r.call(second, "/v1/endpoints?watch=1&from=0")
+	r.say(watch, chunked+line(40, false))
+	r.next(40)
+	_ = r.call(second, "/v1/endpoints").Close()
+	r.next(0)
+	r.do(r.client.Watch)
+	watch = r.call(second, "/v1/endpoints?watch=1&from=0")
+	r.say(watch, chunked+line(40, true))
+	r.next(40)
+	r.do(r.client.Watch)
+	r.call(second, "/v1/endpoints?watch=1&from=40")
+}
+
+// TestCountsAnew: a discovery that has lost count tells changes since what nobody knows, so its whole list is asked for.
+func TestCountsAnew(t *testing.T) {
+	r := newRig(t)
+	r.do(r.client.Watch)
+	watch := r.call(r.server, "/v1/endpoints?watch=1&from=4")
+	r.say(watch, chunked+line(2, false))
+	r.next(2)
+	fetch := r.call(r.server, "/v1/endpoints")
+	r.say(fetch, chunked+line(3, true)+"0\r\n\r\n")
+	r.next(3)
+}
