Subscribe anew within what the terms leave of their 6 s, however many routers

Seen: reading rewatch and the discovery client for a watch that falls silent. The client finds it after 2.5 s, then the module waited a pause and as much jitter, and on top a time of up to 20 ms a router: with 300 routers up to 8 s. What the watch misses counts as told 6 s after it fell silent, and drains bind 2 s later, so a router late in that order sends to servers that drain. After an outage the same, and at a start up to 6 s passed before the first watch.

Now no router waits longer than 2.5 s, which with the 2.5 s of silence leaves a second for the call. A pushed list has no order to wait for: its agent is this router's own, and what that has at the return from an outage binds at once.

Ruled out: few routers, where the times were within the terms: 0.2 to 2 s.

remember moves to state.go, as it keeps a record; it is unchanged. TestFleetSubscribesInTime fails without the mend: "5.67s to the next subscription".

--- a/router.go
+++ b/router.go
@@ -50,7 +50,8 @@
 	probeMost    = 4                      // doublings of that while probes go on failing
 	failMemory   = 4 * time.Second        // fading of that chance
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
-	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds
+	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds...
+	watchMost    = 5 * time.Second / 2    // ...but none later: what a silent watch misses is told in 6 s
 	coldMargin   = 0.5                    // part of the fall budget to use: estimates are rough
 	watchSoon    = 100 * time.Millisecond // before subscribing anew, plus jitter of the same...
 	watchPause   = time.Second            // ...doubled up to this while it fails within as long
@@ -85,7 +86,7 @@
 	if r.refreshAt == 0 {
 		r.flowAt, r.refreshAt, r.rewatchAt = r.now, r.now+refreshEvery, math.MaxInt64
 		if r.set.AskList {
-			r.rewatch(0, 0)
+			r.rewatch(0)
 		}
 	}
 	if r.wakeAt != never && r.now-r.wakeAt > stall {
@@ -682,17 +683,6 @@
 	return true
 }
 
-// remember keeps a session's last commit. One dropped counts as late as any that was.
-func (r *Router) remember(session string, at Time) {
-	if r.commits == nil || len(r.commits) >= sessionsKept {
-		for _, t := range r.commits {
-			r.forgotten = max(r.forgotten, t)
-		}
-		r.commits = map[string]Time{}
-	}
-	r.commits[session] = max(at, r.commits[session])
-}
-
 // learn takes a role and a position; at is the time of the role's evidence.
 func (r *Router) learn(s *store, t Report, at Time) {
 	if t.HasPosition {
@@ -803,7 +793,7 @@
 			r.watchFails = 0
 		}
 		pause := min(watchPause, watchSoon<<min(r.watchFails, 9))
-		r.rewatch(pause, pause)
+		r.rewatch(pause)
 		return
 	}
 	named := map[StoreID]bool{}
@@ -852,10 +842,14 @@
 	}
 }
 
-// rewatch subscribes after a pause, each router at a time of its own: the list answers one after the other.
-func (r *Router) rewatch(pause, jitter time.Duration) {
-	spread := jitter + watchEach*time.Duration(r.set.Siblings-1)
-	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(spread))
+// rewatch subscribes after a pause and as much jitter, each router at a time of its own: the list answers one
+// after the other. One that is pushed comes from an agent of this router's own and binds once that has it.
+func (r *Router) rewatch(pause time.Duration) {
+	most, spread := watchMost, pause+watchEach*time.Duration(r.set.Siblings-1)
+	if !r.set.AskList {
+		pause, most, spread = min(pause, 2*watchSoon), 4*watchSoon, pause
+	}
+	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(min(spread, most-pause)))
 }
 
 // probe asks a store how it is, unless it was asked within pause.
--- a/router_test.go
+++ b/router_test.go
@@ -767,6 +767,41 @@
 	}
 }
 
+// TestFleetSubscribesInTime: each of many routers subscribes anew at a time of its own, as one list answers all of them, but
+// none later than the terms leave it: what a watch that fell silent has missed counts as told 6 s later. Where the list is
+// pushed it comes from an agent that binds at once, and nobody else asks that.
+func TestFleetSubscribesInTime(t *testing.T) {
+	for _, ask := range []bool{true, false} {
+		set := testSettings()
+		set.Siblings, set.AskList = 300, ask
+		var early, late int
+		for seed := range uint64(200) {
+			r := New(set, seed)
+			now := Time(time.Second)
+			r.Handle(now, &List{Kind: ListRestored}, nil)
+			now += time.Minute
+			r.Handle(now, &Timer{}, nil)
+			for n := range 5 {
+				r.Handle(now, &List{Kind: ListFailed}, nil)
+				switch wait := r.rewatchAt - now; {
+				case wait > watchMost || !ask && wait > 4*watchSoon:
+					t.Fatalf("asked %v: %v to the next subscription", ask, wait)
+				case n > 0: // the pause grows
+				case wait < watchMost/3:
+					early++
+				case wait > watchMost*2/3:
+					late++
+				}
+				now = r.rewatchAt
+				r.Handle(now, &Timer{}, nil)
+			}
+		}
+		if ask && (early < 40 || late < 40) {
+			t.Errorf("of 200 subscriptions %d are early and %d late", early, late)
+		}
+	}
+}
+
 // TestBadInput feeds what should never come; each has a defined result and no panic.
 func TestBadInput(t *testing.T) {
 	g := trio(t, func(s *Settings) { s.Siblings = 0 })
--- a/state.go
+++ b/state.go
@@ -279,6 +279,17 @@
 	return a, i
 }
 
+// remember keeps a session's last commit. One dropped counts as late as any that was.
+func (r *Router) remember(session string, at Time) {
+	if r.commits == nil || len(r.commits) >= sessionsKept {
+		for _, t := range r.commits {
+			r.forgotten = max(r.forgotten, t)
+		}
+		r.commits = map[string]Time{}
+	}
+	r.commits[session] = max(at, r.commits[session])
+}
+
 // way is what the way to a zone took, as seen last.
 type way struct {
 	slow   float64
