Open a watch at the start where the list is pushed

Seen: reading Core.Start and New for the sites whose list is pushed (membership_mode is not ask). The module subscribes only where the list is asked for, and nobody else opened a watch, so the pooler kept the list of its start for good: drains, removals and starts went unheard, though what the agent has counts as told.

Ruled out: an agent that calls the pooler; the protocol has only GET on discovery's address.

TestPushedListIsWatched fails without the mend (no watch was asked for).

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -607,6 +607,25 @@
 	}
 }
 
+// TestPushedListIsWatched: where the list is pushed, what the agent has binds at once, so a watch is opened at the start, and anew
+// when it breaks; nobody else would.
+func TestPushedListIsWatched(t *testing.T) {
+	addr, _ := server(t)
+	told := make(chan string, 9)
+	start(t, addr, func(_ http.ResponseWriter, r *http.Request) { told <- r.URL.String() },
+		func(c *config.Config) { c.Settings.AskList = false })
+	for range 2 {
+		select {
+		case got := <-told:
+			if got != "/v1/endpoints?watch=1&from=4" {
+				t.Fatalf("asked %s", got)
+			}
+		case <-time.After(patience):
+			t.Fatal("no watch was asked for")
+		}
+	}
+}
+
 // TestReload: on SIGHUP a configuration that cannot be used changes nothing. One that names another discovery is followed at
 // once: it is asked for its whole list, as its generations are its own, and the old one's end is not taken for its failure.
 func TestReload(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,10 +107,14 @@
 	return c
 }
 
-// Start joins the core to the servers and the directory and tells the router the list as last known.
+// Start joins the core to the servers and the directory and tells the router the list as last known. A list that is
+// pushed needs an open watch as much as one that is asked for, only that the router does not ask for it at the start.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
 	c.list(&c.cfg.Known, beechgrade.ListRestored)
+	if !c.cfg.Settings.AskList {
+		c.dir.Watch()
+	}
 }
 
 // Open is the number of requests that are owed an answer or have attempts out.
