Close an attempt's connection before its end is told

Seen: reading Pool.drop for an attempt that is given up (called off, timed out, spoilt, stalled). Its end was told first, and the module answers that at once: where another member is free, the next attempt was written in that very call, and the connection of the one before closed after it. For that moment two attempts of a request were out on open connections, which counts as a second copy where none is allowed.

Ruled out: ends that the server brings about (Closed, settled), which leave no query out.

TestGivenUpBeforeItIsTold looks, in the call that tells the end, whether the connection stands; it fails in all four cases without the mend.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -299,9 +299,9 @@
 		r = beechgrade.Skipped // it was never written
 	}
 	if c != nil {
-		c.attempt = nil // before the close, which would report a reset
+		c.attempt, a.conn = nil, nil // before the close, which would report a reset...
+		c.c.Close()                  // ...and that before the end, which may have the request sent elsewhere at once
 		p.end(a, Outcome{Result: r})
-		c.c.Close()
 		return
 	}
 	p.unqueue(a)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"testing"
@@ -13,6 +14,7 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
 )
 
 type told chan Outcome
@@ -27,6 +29,136 @@
 func (nobody) Data([]byte)       {}
 func (nobody) Closed(error)      {}
 
+// rig is a pool on a loop of its own, with a clock that stands unless a test moves it.
+type rig struct {
+	t      *testing.T
+	clk    *clock.Manual
+	loop   *loop.Loop
+	pool   *Pool
+	events told
+}
+
+func newRig(t *testing.T, events Events, opt Options) *rig {
+	r := &rig{t: t, clk: &clock.Manual{Ms: 1e6}}
+	r.loop = loop.New(r.clk, slog.New(slog.DiscardHandler), func() loop.Handler { return nobody{} }, func() {})
+	r.pool = New(r.loop, slog.New(slog.DiscardHandler), opt, events)
+	r.events, _ = events.(told)
+	ready, ended := make(chan struct{}), make(chan error, 1)
+	r.loop.Ready = func() { close(ready) }
+	go func() { ended <- r.loop.Run("127.0.0.1:0") }()
+	<-ready
+	t.Cleanup(func() {
+		r.loop.End()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// do runs f on the loop; what is done after this comes after it.
+func (r *rig) do(f func()) {
+	done := make(chan struct{})
+	r.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (r *rig) next() Outcome {
+	r.t.Helper()
+	select {
+	case o := <-r.events:
+		return o
+	case <-time.After(20 * time.Second):
+		r.t.Fatal("no end was told")
+		return Outcome{}
+	}
+}
+
+func options() Options {
+	return Options{ConnectTimeoutMs: 20000, IdleMs: 20000, MaxConns: func() int { return 9 }, Memory: func() int { return 1 << 28 }}
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// accept takes the next connection to a server and its startup message.
+func accept(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Second))
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.ReadFull(c, make([]byte, len(pgwire.AppendStartup(nil, "", "")))); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func say(t *testing.T, c net.Conn, b []byte) {
+	t.Helper()
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// looker looks, when an attempt ends, whether its connection still stands.
+type looker struct {
+	told
+	open func() bool
+}
+
+func (l looker) AttemptEnded(_ Tag, o Outcome) {
+	if l.open() {
+		o.Result = 99
+	}
+	l.told <- o
+}
+
+// TestGivenUpBeforeItIsTold: when an attempt's end is told, its request may be sent elsewhere in that very call, so by then its
+// connection is closed: else two would be out.
+func TestGivenUpBeforeItIsTold(t *testing.T) {
+	events, server := make(told, 9), listen(t)
+	var r *rig
+	r = newRig(t, looker{events, func() bool { return r.pool.Conns() > 0 }}, options())
+	for name, giveUp := range map[string]func(ref slots.Ref, far net.Conn){
+		"called off": func(ref slots.Ref, _ net.Conn) { r.do(func() { r.pool.Cancel(ref) }) },
+		"timed out":  func(slots.Ref, net.Conn) { r.do(func() { r.clk.Ms += 9000 }) },
+		"spoilt":     func(_ slots.Ref, far net.Conn) { say(t, far, []byte("noise")) },
+		"stalled": func(_ slots.Ref, far net.Conn) {
+			say(t, far, []byte("T"))
+			for held := 0; held == 0; { // until it has come
+				r.do(func() { held = r.pool.held })
+			}
+			r.do(func() { r.clk.Ms += stallMs })
+		},
+	} {
+		var ref slots.Ref
+		r.do(func() {
+			r.pool.SetAddress("s", server.Addr().String())
+			ref = r.pool.Start("s", events, r.clk.Ms+9000, false, Tag{})
+		})
+		far := accept(t, server)
+		say(t, far, pgwire.AppendWelcome(nil))
+		if _, err := far.Read(make([]byte, 99)); err != nil { // the query
+			t.Fatal(err)
+		}
+		giveUp(ref, far)
+		r.events = events
+		if o := r.next(); o.Result == 99 {
+			t.Errorf("%s: told while its connection stood", name)
+		}
+	}
+}
+
 // TestNeverWritten: an attempt for which there is no descriptor, or that is called off or whose server leaves the list while it
 // waits for a connection, was never sent. Fails if that tells against its server, or counts as one that may have run.
 func TestNeverWritten(t *testing.T) {
