Let the rest of a query that is told as never sent never arrive

Seen: reading gnet's close (eventloop.close) against Pool's Closed. After it has told of the close, gnet writes what the socket has come to take of the bytes that still wait, and only then closes. The pool reads waiting bytes as "its last byte never left", tells Unreachable, and the module sends the request again, an unsafe one too; the rest of the first query could still reach its server, whole.

Now the pool shuts the socket down first, so that the rest goes nowhere.

Ruled out: bytes that the socket has taken; they count as sent, and the end as a reset.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -612,6 +612,7 @@
 		c.refused()
 		return
 	}
+	c.c.Discard() // or the rest of a query that is told as never sent might still arrive
 	c.state = closed
 	c.count()
 	p.loop.Stop(c.timer)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,6 +161,72 @@
 	}
 }
 
+// large is a query that no socket takes at once.
+type large struct{}
+
+func (large) AppendQuery(dst []byte, _ int) []byte {
+	return pgwire.AppendQuery(dst, strings.Repeat("x", 32<<20))
+}
+
+// TestHalfWrittenNeverArrives: where part of a query still waits here when its connection is closed, from this side or by the
+// server's end of sending, its rest must not be handed over with the close: it is told as never sent, and goes out again.
+func TestHalfWrittenNeverArrives(t *testing.T) {
+	for name, ends := range map[string]func(p *Pool, ref slots.Ref, far net.Conn){
+		"called off":       func(p *Pool, ref slots.Ref, _ net.Conn) { p.Cancel(ref) },
+		"the server's end": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, server := make(told, 9), listen(t)
+			r := newRig(t, events, options())
+			var ref slots.Ref
+			r.do(func() {
+				r.pool.SetAddress("s", server.Addr().String())
+				ref = r.pool.Start("s", large{}, r.clk.Ms+9000, true, Tag{})
+			})
+			far := accept(t, server)
+			say(t, far, pgwire.AppendWelcome(nil))
+			var out *conn
+			for out == nil { // until it is written as far as it goes
+				r.do(func() { out = r.pool.busyConn() })
+			}
+			whole, read := len(large{}.AppendQuery(nil, 0)), 0
+			r.do(func() { // the loop stands here, so that it sends no more on its own
+				buf := make([]byte, 1<<20)
+				for read < whole-out.c.Unsent() {
+					n, err := far.Read(buf)
+					if read += n; err != nil {
+						t.Error(err)
+						return
+					}
+				}
+				if ends != nil {
+					ends(r.pool, ref, far)
+				} else {
+					_ = far.(*net.TCPConn).CloseWrite()
+					for out.c.Quiet() { // until the end is there to be read
+						runtime.Gosched()
+					}
+					out.c.Close()
+				}
+			})
+			n, _ := io.Copy(io.Discard, far)
+			if r.next(); read+int(n) >= whole || n > 0 {
+				t.Errorf("%d bytes of %d arrived, %d of them with the close", read+int(n), whole, n)
+			}
+		})
+	}
+}
+
+// busyConn is a connection with a query out.
+func (p *Pool) busyConn() (out *conn) {
+	p.conns.Each(func(_ slots.Ref, c *conn) {
+		if c.state == busy {
+			out = c
+		}
+	})
+	return out
+}
+
 // TestNeverWritten: an attempt for which there is no descriptor, or that is called off or whose server leaves the list while it
 // waits for a connection, was never sent. Fails if that tells against its server, or counts as one that may have run.
 func TestNeverWritten(t *testing.T) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// Discard has bytes that were written and that the socket has not taken go nowhere. On its own a close still hands
+// over what the socket has come to take by then.
+func (c *Conn) Discard() {
+	if c.Unsent() > 0 {
+		_ = unix.Shutdown(c.gc.Fd(), unix.SHUT_RDWR)
+	}
+}
+
 // CloseWrite ends the sending; what the other side still sends is told as before.
 func (c *Conn) CloseWrite() error {
 	if c.gone {
