Send nothing to a server that began to drain while a connection was awaited

News that a server drains closed its idle connections only. An attempt that waited for a connection there went on waiting, and was written when that came up, however long after the news; a connection may take its whole time-out. Where a server is gone from the list it was skipped (Forget), on draining not.

Now Drain ends what waits as never sent, and the module places it anew. A probe that ends so tells nothing of its server (onProbe took it for one that failed).

Ruled out: the module, which sends nothing to such a server from the event that tells it.

TestDrainCrossesASlowConnection fails without the mend (no end was told; the query goes out once the welcome comes).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 
 	"beechgrade"
@@ -157,16 +158,29 @@
 	}
 	if s.addr != addr {
 		s.addr = addr
-		p.CloseIdle(id)
+		s.closeIdle()
 	}
 }
 
-// CloseIdle closes a server's idle connections.
-func (p *Pool) CloseIdle(id string) {
+func (s *store) closeIdle() {
+	for len(s.idle) > 0 {
+		s.idle[0].c.Close()
+	}
+}
+
+// Drain has a server carry nothing more than what has been sent to it: what waits for a connection there is told as
+// never sent, as the news binds the moment at which it would be.
+func (p *Pool) Drain(id string) {
 	if s := p.stores[id]; s != nil {
-		for len(s.idle) > 0 {
-			s.idle[0].c.Close()
-		}
+		s.closeIdle()
+		p.skipWaiting(s)
+	}
+}
+
+// skipWaiting ends what waits for a connection to a server. What that leads to may have more wait there.
+func (p *Pool) skipWaiting(s *store) {
+	for _, a := range slices.Clone(s.waiting) {
+		p.drop(a, beechgrade.Skipped)
 	}
 }
 
@@ -176,12 +190,10 @@
 	if s == nil {
 		return
 	}
-	p.CloseIdle(id)
+	s.closeIdle()
 	delete(p.stores, id)
 	s.addr = "" // its connections are closed once they are free
-	for len(s.waiting) > 0 {
-		p.drop(s.waiting[0], beechgrade.Skipped)
-	}
+	p.skipWaiting(s)
 }
 
 // Retain forgets all servers but those.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -227,6 +227,36 @@
 	return out
 }
 
+// TestDrainCrossesASlowConnection: an attempt waits for its connection, and before that is up its server begins to drain.
+// What is not sent by then must not be sent.
+func TestDrainCrossesASlowConnection(t *testing.T) {
+	events, server := make(told, 9), listen(t)
+	r := newRig(t, events, options())
+	r.do(func() {
+		r.pool.SetAddress("s", server.Addr().String())
+		for range 2 {
+			r.pool.Start("s", events, r.clk.Ms+9000, true, Tag{})
+		}
+	})
+	slow := []net.Conn{accept(t, server), accept(t, server)}
+	r.do(func() { r.pool.Drain("s") })
+	for _, far := range slow {
+		if o := r.next(); o.Result != beechgrade.Skipped {
+			t.Errorf("result %v", o.Result)
+		}
+		say(t, far, pgwire.AppendWelcome(nil))
+	}
+	for up := 0; up < 2; {
+		r.do(func() { up = len(r.pool.stores["s"].idle) })
+	}
+	r.do(func() { r.pool.Drain("s") })
+	for _, far := range slow {
+		if n, _ := io.Copy(io.Discard, far); n > 0 {
+			t.Errorf("%d bytes were sent", n)
+		}
+	}
+}
+
 // TestNeverWritten: an attempt for which there is no descriptor, or that is called off or whose server leaves the list while it
 // waits for a connection, was never sent. Fails if that tells against its server, or counts as one that may have run.
 func TestNeverWritten(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,7 +28,7 @@
 // Servers carries out attempts and probes.
 type Servers interface {
 	SetAddress(id, addr string)
-	CloseIdle(id string)
+	Drain(id string)
 	Forget(id string)
 	Retain(ids map[string]bool)
 	Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref
@@ -228,12 +228,12 @@
 	}
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
-	for i := range e.Entries { // what is in use there stays until it has ended
+	for i := range e.Entries { // what has been sent there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
 		case e.Entries[i].State == beechgrade.Gone && !c.cfg.Settings.DrainOnly:
 			c.servers.Forget(id)
 		case e.Entries[i].State != beechgrade.Serving:
-			c.servers.CloseIdle(id)
+			c.servers.Drain(id)
 		}
 	}
 	if kind != beechgrade.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
--- a/router.go
+++ b/router.go
@@ -763,8 +763,8 @@
 	}
 	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
-	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
-		return // an answer that tells nothing: it neither takes a store out nor back
+	if e.Result == Full || e.Result == Failed || e.Result == Skipped || e.Result != OK && slow {
+		return // what tells nothing: it neither takes a store out nor back
 	}
 	if e.Result != OK {
 		s.probeFails++
