Take back what of a request that is over still waits for a connection

Seen: reading Core.Gone and Core.conclude against Pool.waiting. When a client goes, or a request has its final answer, only the module's Cancel reached the pool, and the module gives it only where the settings let attempts be called off.

Now release withdraws what has not been sent, whatever the settings say: that calls nothing off.

Ruled out: requests held by the module, which Expired takes out of every queue; attempts that were sent, which the settings decide on.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -228,6 +228,13 @@
 	}
 }
 
+// Withdraw gives an attempt up that waits for a connection. One that has been sent stays out.
+func (p *Pool) Withdraw(ref slots.Ref) {
+	if a, ok := p.attempts.Get(ref); ok && a.conn == nil {
+		p.drop(a, beechgrade.Skipped)
+	}
+}
+
 // Conns is the number of connections, those on their way up included.
 func (p *Pool) Conns() int { return p.conns.Len() }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -65,6 +65,21 @@
 	<-done
 }
 
+// until waits for something to become true on the loop.
+func (r *rig) until(f func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; {
+		var is bool
+		r.do(func() { is = f() })
+		if is {
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatal("it never comes to that")
+		}
+	}
+}
+
 func (r *rig) next() Outcome {
 	r.t.Helper()
 	select {
@@ -137,9 +152,7 @@
 		"spoilt":     func(_ slots.Ref, far net.Conn) { say(t, far, []byte("noise")) },
 		"stalled": func(_ slots.Ref, far net.Conn) {
 			say(t, far, []byte("T"))
-			for held := 0; held == 0; { // until it has come
-				r.do(func() { held = r.pool.held })
-			}
+			r.until(func() bool { return r.pool.held > 0 })
 			r.do(func() { r.clk.Ms += stallMs })
 		},
 	} {
@@ -186,9 +199,10 @@
 			far := accept(t, server)
 			say(t, far, pgwire.AppendWelcome(nil))
 			var out *conn
-			for out == nil { // until it is written as far as it goes
-				r.do(func() { out = r.pool.busyConn() })
-			}
+			r.until(func() bool { // it is written as far as it goes
+				out = r.pool.busyConn()
+				return out != nil
+			})
 			whole, read := len(large{}.AppendQuery(nil, 0)), 0
 			r.do(func() { // the loop stands here, so that it sends no more on its own
 				buf := make([]byte, 1<<20)
@@ -246,9 +260,7 @@
 		}
 		say(t, far, pgwire.AppendWelcome(nil))
 	}
-	for up := 0; up < 2; {
-		r.do(func() { up = len(r.pool.stores["s"].idle) })
-	}
+	r.until(func() bool { return len(r.pool.stores["s"].idle) == 2 })
 	r.do(func() { r.pool.Drain("s") })
 	for _, far := range slow {
 		if n, _ := io.Copy(io.Discard, far); n > 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	Retain(ids map[string]bool)
 	Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref
 	Cancel(attempt slots.Ref)
+	Withdraw(attempt slots.Ref)
 	Probe(id string)
 }
 
@@ -307,9 +308,16 @@
 	return q
 }
 
-// release frees the slot of a request of which nothing is left.
+// release takes back what of a request that is over has not been sent, whether or not the settings allow attempts to be
+// called off, and frees its slot once nothing is left of it.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 {
+	if !q.over {
+		return
+	}
+	for i := range q.tries {
+		c.servers.Withdraw(q.tries[i].ref)
+	}
+	if _, ok := c.requests.Get(ref); ok && q.open == 0 { // the last one taken back has led here already
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
