Send nothing once what made its send right has passed while a connection was awaited

Seen: reading place and Pool.begin for slow connections. The module checks the age of a replica's data and the window of repeats when it decides, the pool sends when a connection is up, which may be as late as the connect time-out allows. From the last byte of the send the bound counts, and so does the window: a read of data that was new enough when decided on would be answered from older data where db servers do not check, and a keyed request that may have run would run twice.

Now a Send says until when it may be sent (Action.By), and the pool ends it as never sent after that, whether its timer or the connection comes first. The module places it anew by what holds then.

flowed moves to state.go, as it keeps a record; it is unchanged. TestSendIsRightForAWhile and TestTooLateForItsSend ("no end was told": the late query was sent) fail without the mend.

--- a/api.go
+++ b/api.go
@@ -235,7 +235,7 @@
 
 // The actions.
 const (
-	Send      ActionKind = iota // start the next attempt of ID at Store; Wait is its time-out, 0 for none
+	Send      ActionKind = iota // start the next attempt of ID at Store; Wait is its time-out, By the latest to send it
 	Cancel                      // stop waiting for attempt Attempt of ID
 	Refuse                      // final answer: trying again is harmless, best after Wait
 	Fail                        // final answer: nothing is promised
@@ -254,6 +254,7 @@
 	Store   StoreID
 	Wait    time.Duration
 	At      Time
+	By      Time // one that has to wait for a connection for longer ends as Skipped
 	Tag     int64
 	Text    string
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -94,6 +94,7 @@
 	store   *store // nil if it is not known
 	query   Query
 	until   float64
+	by      float64 // it may not be sent then or later
 	began   float64
 	written float64 // 0 until it has a connection
 	conn    *conn
@@ -205,10 +206,10 @@
 	}
 }
 
-// Start starts an attempt that ends by itself at until. One that must not run twice is spared connections that
-// would probably lose it.
-func (p *Pool) Start(id string, q Query, until float64, once bool, t Tag) slots.Ref {
-	a := &attempt{tag: t, id: id, query: q, until: until, began: p.loop.Now(), once: once, store: p.stores[id]}
+// Start starts an attempt that ends by itself at until, and is not sent at by or later. One that must not run twice
+// is spared connections that would probably lose it.
+func (p *Pool) Start(id string, q Query, until, by float64, once bool, t Tag) slots.Ref {
+	a := &attempt{tag: t, id: id, query: q, until: until, by: by, began: p.loop.Now(), once: once, store: p.stores[id]}
 	a.ref = p.attempts.Put(a)
 	p.begin(a)
 	return a.ref
@@ -216,7 +217,7 @@
 
 // Probe asks a server for its load report.
 func (p *Pool) Probe(id string) {
-	a := &attempt{id: id, until: p.loop.Now() + p.opt.ConnectTimeoutMs, store: p.stores[id]}
+	a := &attempt{id: id, until: p.loop.Now() + p.opt.ConnectTimeoutMs, by: math.Inf(1), store: p.stores[id]}
 	a.ref = p.attempts.Put(a)
 	p.begin(a)
 }
@@ -245,8 +246,8 @@
 		return
 	}
 	a.timer = p.loop.At(a.until, func() { p.drop(a, beechgrade.TimedOut) })
-	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
-		if a.conn == nil && s.dialing == 0 { // want of a descriptor tells nothing of the server
+	a.connect = p.loop.At(min(a.by, p.loop.Now()+p.opt.ConnectTimeoutMs), func() {
+		if s.dialing == 0 || p.late(a) { // want of a descriptor, or of time, tells nothing of the server
 			p.drop(a, beechgrade.Skipped)
 			return
 		}
@@ -272,6 +273,9 @@
 	}
 }
 
+// late tells whether an attempt may not be sent any more.
+func (p *Pool) late(a *attempt) bool { return p.loop.Now() >= a.by }
+
 // dial opens one more connection, if the budget allows it; else those that wait take what comes free.
 func (p *Pool) dial(s *store) {
 	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldest() {
@@ -394,13 +398,17 @@
 		c.c.Close()
 		return
 	}
-	if w := c.store.waiting; len(w) > 0 {
-		a := w[0]
-		c.store.waiting = w[1:]
+	p := c.pool
+	for len(c.store.waiting) > 0 {
+		a := c.store.waiting[0]
+		if p.late(a) { // its time is over, and only the loop has not come to that yet
+			p.drop(a, beechgrade.Skipped)
+			continue
+		}
+		p.unqueue(a)
 		c.carry(a)
 		return
 	}
-	p := c.pool
 	p.idleSeq++
 	c.idleNo = p.idleSeq
 	c.store.idle = append(c.store.idle, c)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"runtime"
 	"strings"
@@ -159,7 +160,7 @@
 		var ref slots.Ref
 		r.do(func() {
 			r.pool.SetAddress("s", server.Addr().String())
-			ref = r.pool.Start("s", events, r.clk.Ms+9000, false, Tag{})
+			ref = r.pool.Start("s", events, r.clk.Ms+9000, math.Inf(1), false, Tag{})
 		})
 		far := accept(t, server)
 		say(t, far, pgwire.AppendWelcome(nil))
@@ -194,7 +195,7 @@
 			var ref slots.Ref
 			r.do(func() {
 				r.pool.SetAddress("s", server.Addr().String())
-				ref = r.pool.Start("s", large{}, r.clk.Ms+9000, true, Tag{})
+				ref = r.pool.Start("s", large{}, r.clk.Ms+9000, math.Inf(1), true, Tag{})
 			})
 			far := accept(t, server)
 			say(t, far, pgwire.AppendWelcome(nil))
@@ -249,7 +250,7 @@
 	r.do(func() {
 		r.pool.SetAddress("s", server.Addr().String())
 		for range 2 {
-			r.pool.Start("s", events, r.clk.Ms+9000, true, Tag{})
+			r.pool.Start("s", events, r.clk.Ms+9000, math.Inf(1), true, Tag{})
 		}
 	})
 	slow := []net.Conn{accept(t, server), accept(t, server)}
@@ -269,6 +270,54 @@
 	}
 }
 
+// TestTooLateForItsSend: an attempt may be right for a while only, by the age of its server's data or the window in which repeats are
+// dropped. Its connection comes up after that, whichever of the two the loop comes to first: it was never sent, and another
+// that waits takes the connection.
+func TestTooLateForItsSend(t *testing.T) {
+	for _, timer := range []bool{true, false} {
+		events, server := make(told, 9), listen(t)
+		r := newRig(t, events, options())
+		r.do(func() {
+			r.pool.SetAddress("s", server.Addr().String())
+			r.pool.Start("s", events, r.clk.Ms+9000, r.clk.Ms+100, true, Tag{})
+			r.pool.Start("s", events, r.clk.Ms+9000, math.Inf(1), true, Tag{No: 1})
+		})
+		slow := []net.Conn{accept(t, server), accept(t, server)}
+		if timer {
+			r.do(func() { r.clk.Ms += 100 })
+		}
+		r.do(func() {
+			for _, far := range slow {
+				say(t, far, pgwire.AppendWelcome(nil))
+			}
+			r.pool.conns.Each(func(_ slots.Ref, c *conn) {
+				for c.c.Quiet() { // until it is there to be read
+					runtime.Gosched()
+				}
+			})
+			if !timer {
+				// As if the clock went on while the loop is at the connections: its deadlines come after them.
+				r.pool.stores["s"].waiting[0].by = r.clk.Ms
+			}
+		})
+		if o := r.next(); o.Result != beechgrade.Skipped {
+			t.Errorf("by its timer %v: result %v", timer, o.Result)
+		}
+		r.until(func() bool { return r.pool.busyConn() != nil })
+		r.do(func() { r.pool.Drain("s") })
+		got := 0
+		for _, far := range slow {
+			_ = far.SetReadDeadline(time.Now().Add(20 * time.Second))
+			if n, _ := far.Read(make([]byte, 999)); n > 0 {
+				got++
+			}
+		}
+		if got != 1 {
+			t.Errorf("by its timer %v: %d queries were sent, want 1", timer, got)
+		}
+	}
+}
+
 // TestNeverWritten: an attempt for which there is no descriptor, or that is called off or whose server leaves the list while it
 // waits for a connection, was never sent. Fails if that tells against its server, or counts as one that may have run.
 func TestNeverWritten(t *testing.T) {
@@ -283,13 +332,13 @@
 	<-ready
 	l.Post(func() {
 		p.SetAddress("s", "127.0.0.1:1")
-		p.Start("s", events, clk.Ms+9000, true, Tag{})
-		p.Cancel(p.Start("s", events, clk.Ms+9000, true, Tag{No: 1}))
+		p.Start("s", events, clk.Ms+9000, math.Inf(1), true, Tag{})
+		p.Cancel(p.Start("s", events, clk.Ms+9000, math.Inf(1), true, Tag{No: 1}))
 	})
 	l.Post(func() { clk.Ms += 250 })
 	l.Post(func() {
 		p.SetAddress("t", "127.0.0.1:1")
-		p.Start("t", events, clk.Ms+9000, true, Tag{No: 2})
+		p.Start("t", events, clk.Ms+9000, math.Inf(1), true, Tag{No: 2})
 		p.Retain(map[string]bool{"s": true}) // t has left the list
 		p.Forget("s")
 		if len(p.stores) != 0 {
@@ -354,7 +403,7 @@
 	go func() { ended <- l.Run("127.0.0.1:0") }()
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
-		p.Start("s", events, l.Now()+20000, false, Tag{})
+		p.Start("s", events, l.Now()+20000, math.Inf(1), false, Tag{})
 	})
 	far, err := server.Accept()
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,7 +31,7 @@
 	Drain(id string)
 	Forget(id string)
 	Retain(ids map[string]bool)
-	Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref
+	Start(id string, q backend.Query, until, by float64, once bool, t backend.Tag) slots.Ref
 	Cancel(attempt slots.Ref)
 	Withdraw(attempt slots.Ref)
 	Probe(id string)
@@ -340,7 +340,7 @@
 		return
 	}
 	q.open++
-	at := c.servers.Start(string(a.Store), q.query, until, q.once, backend.Tag{Request: ref, No: no})
+	at := c.servers.Start(string(a.Store), q.query, until, clock.Millis(a.By), q.once, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
 
--- a/router.go
+++ b/router.go
@@ -266,15 +266,6 @@
 // work is the request's expected work: its class's average, by its hint where it came with one.
 func (q *request) work() float64 { return q.class.work * q.size }
 
-// flowed counts n more requests, and the work of those that only a primary takes, over a fading memory.
-func (r *Router) flowed(n, must float64) {
-	dt := (r.now - r.flowAt).Seconds()
-	keep := math.Exp(-dt / flowMemory.Seconds())
-	r.sends, r.mustWork = r.sends*keep+n, r.mustWork*keep+must
-	r.flowSpan, r.flowAt = r.flowSpan*keep+dt, r.now
-	r.flow, r.musts = r.sends/max(r.flowSpan, 1), r.mustWork/max(r.flowSpan, 1)
-}
-
 // coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
 // Where that is less than a request, chance lets through what all together may send of what they are asked
 // for: a bucket of each would hold credit where nothing is asked, and writes would wait at an idle cold
@@ -444,10 +435,23 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id})
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: r.sendBy(q, s)})
 	return true
 }
 
+// sendBy is until when the request may be sent there. A connection may be long in coming up, and what makes
+// the send right now, the age of the data or the window of repeats, runs on meanwhile.
+func (r *Router) sendBy(q *request, s *store) Time {
+	by := Time(math.MaxInt64)
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers && s != r.primary(q.group) {
+		by = s.position + q.class.Bound
+	}
+	if q.maybe && q.class.Effect == Keyed {
+		by = min(by, q.maybeAt+q.class.KeyWindow-r.set.Tick)
+	}
+	return by
+}
+
 func (r *Router) onRequest(e *Request) {
 	if r.reqs[e.ID] != nil {
 		return
--- a/router_test.go
+++ b/router_test.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// TestSendIsRightForAWhile: what makes a send right now runs on while it waits for a connection, so it says until when: as long as
+// the data of a replica that would answer from any is new enough, and as long as repeats are dropped.
+func TestSendIsRightForAWhile(t *testing.T) {
+	for behind, want := range map[Behind]Time{BehindAnswers: start + 200*ms, BehindRefuses: math.MaxInt64, BehindWaits: math.MaxInt64} {
+		set := testSettings()
+		set.Behind = behind
+		g := newRig(t, set, Entry{Store: "a"})
+		g.report("a", RoleReplica, g.now-100*ms)
+		if got := of(Send, g.ask("1", cBounded)); len(got) != 1 || got[0].By != want {
+			t.Errorf("behind=%d: %+v, want it by %v", behind, got, want)
+		}
+	}
+	g := trio(t, nil)
+	if got := of(Send, g.ask("1", cWrite)); len(got) != 1 || got[0].By != math.MaxInt64 {
+		t.Errorf("a first send: %+v", got)
+	}
+	g.now += 500 * ms
+	if got := of(Send, g.end("1", 0, "p", Failed)); len(got) != 1 || got[0].By != start+1995*ms {
+		t.Errorf("a repeat: %+v", got)
+	}
+}
+
 func TestSessionReadAtTheBoundary(t *testing.T) {
 	for _, c := range []struct {
 		token time.Duration
--- a/state.go
+++ b/state.go
@@ -279,6 +279,15 @@
 	return a, i
 }
 
+// flowed counts n more requests, and the work of those that only a primary takes, over a fading memory.
+func (r *Router) flowed(n, must float64) {
+	dt := (r.now - r.flowAt).Seconds()
+	keep := math.Exp(-dt / flowMemory.Seconds())
+	r.sends, r.mustWork = r.sends*keep+n, r.mustWork*keep+must
+	r.flowSpan, r.flowAt = r.flowSpan*keep+dt, r.now
+	r.flow, r.musts = r.sends/max(r.flowSpan, 1), r.mustWork/max(r.flowSpan, 1)
+}
+
 // remember keeps a session's last commit. One dropped counts as late as any that was.
 func (r *Router) remember(session string, at Time) {
 	if r.commits == nil || len(r.commits) >= sessionsKept {
