Read what has come before the program ends, and nothing once it does

Seen: reading drain for a request on a resting connection that comes as those are closed. Drain rightly leaves a connection alone on which something waits to be read, but the look that decides whether anything is still owed did not know of that: past the time for closing it ended the loop with the request unread, and an ending loop, which goes on for a moment, still read it, had it sent to a server, and closed everything. Sent on and never answered: lost.

Now what waits to be read is owed, and once the program ends all connections are closed in that very call and new ones at once, so that nothing is read after it.

Ruled out: a close that crosses a request not yet read; the client sends that once more.

TestRequestCrossesTheEnd holds the loop past that time and fails without either half ("the server was asked nothing").

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -120,6 +120,7 @@
 			return
 		}
 		p.log.Info("drained", "ms", now-began)
+		p.front.End() // the loop takes a moment to end
 		p.loop.End()
 	}
 	look()
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -159,6 +160,13 @@
 // startReload is start with a way to send SIGHUP; load is what the pooler then reads.
 func startReload(t *testing.T, server string, watch http.HandlerFunc, load func(config.Config) (*config.Config, error),
 	change ...func(*config.Config)) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
+	_, addr, hup, stop, done = startPooler(t, server, watch, load, change...)
+	return addr, hup, stop, done
+}
+
+// startPooler is startReload with the pooler itself, for what must come in a certain order on its loop.
+func startPooler(t *testing.T, server string, watch http.HandlerFunc, load func(config.Config) (*config.Config, error),
+	change ...func(*config.Config)) (p *pooler, addr string, hup, stop chan<- os.Signal, done <-chan error) {
 	if watch == nil {
 		watch = func(w http.ResponseWriter, r *http.Request) {
 			w.(http.Flusher).Flush()
@@ -179,7 +187,7 @@
 	for _, f := range change {
 		f(cfg)
 	}
-	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	p = newPooler(cfg, slog.New(slog.DiscardHandler))
 	first := *cfg
 	p.load = func() (*config.Config, error) { return load(first) }
 	ready, ended, sig, again := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
@@ -196,7 +204,7 @@
 	case err := <-ended:
 		t.Fatal(err)
 	}
-	return addr, again, sig, ended
+	return p, addr, again, sig, ended
 }
 
 func dial(t *testing.T, addr string) *peer {
@@ -822,3 +830,39 @@
 		t.Errorf("after the end: %v", err)
 	}
 }
+
+// TestRequestCrossesTheEnd: a request comes on a resting connection in the very moment in which a program that was told to end closes
+// those, as late as its loop is. It is answered like any other.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	addr, queries := server(t)
+	p, pooler, _, _, done := startPooler(t, addr, nil, nil, func(c *config.Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].Deadline = time.Second
+		}
+	})
+	c, idle := client(t, pooler), client(t, pooler)
+	standing, came := make(chan struct{}), make(chan struct{})
+	p.loop.Post(p.drain)
+	p.loop.Post(func() { // the loop stands here past the time at which it would close and end
+		close(standing)
+		<-came
+		for end := p.loop.Now() + 1000 + drainClose + 2*pollMs; p.loop.Now() < end; {
+			runtime.Gosched()
+		}
+	})
+	<-standing
+	c.send(query("1", "read", 9000))
+	close(came)
+	next(t, queries).send(row("v"))
+	c.want("TDCZ v")
+	c.want("$")
+	idle.want("$")
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("the process did not end")
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -40,8 +40,9 @@
 	sessions slots.Table[*session]
 	crowd    [uses]list.List // of sessions, by use; those of longest standing first
 	draining bool
-	held     int // bytes that clients have sent, or are yet to have, and that wait here
-	turned   int // clients turned away since the last sweep
+	over     bool // the program ends
+	held     int  // bytes that clients have sent, or are yet to have, and that wait here
+	turned   int  // clients turned away since the last sweep
 }
 
 // NewPostgres makes a front.
@@ -59,15 +60,27 @@
 // Sessions is the number of clients connected.
 func (p *Postgres) Sessions() int { return p.sessions.Len() }
 
-// Owes tells whether a client waits for an answer, or has not read all of one.
+// Owes tells whether a client waits for an answer, or has not read all of one, or has sent what is not read yet: that
+// may be a request.
 func (p *Postgres) Owes() bool {
 	owes := false
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		owes = owes || len(s.queue) > 0 || s.conn != nil && s.conn.Unsent() > 0
+		owes = owes || len(s.queue) > 0 || s.conn != nil && (s.conn.Unsent() > 0 || !s.ended && !s.conn.Quiet())
 	})
 	return owes
 }
 
+// End closes all that there is and takes nothing any more: a request that is read while the program ends would be sent
+// on, and nobody would be there for its answer.
+func (p *Postgres) End() {
+	p.over = true
+	p.sessions.Each(func(_ slots.Ref, s *session) {
+		if s.conn != nil {
+			s.conn.Close()
+		}
+	})
+}
+
 // Drain closes clients' connections as they fall idle, from now on.
 func (p *Postgres) Drain() {
 	p.draining = true
@@ -109,6 +122,10 @@
 // Opened is loop's.
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
+	if s.front.over {
+		c.Close()
+		return
+	}
 	if !s.front.admit(s) {
 		s.fatal(codeRefused, "too many clients")
 	}
