Answer a held request once it may not go again

Seen: reading pump for a keyed request whose window ends while it is held. A request that may have run is sent again within the window of its class only; onOutcome gives it up at once where that is over (spent), but one that was held then, as its primary had no room or was down, stayed held until just before its client's end, though place could never send it again. The answer is owed at once when the module gives up.

Now pump asks spent as onOutcome does.

Ruled out: requests with an attempt out; they are not held.

TestKeyWindowEndsWhileHeld fails without the mend: "after the window: []".

--- a/router.go
+++ b/router.go
@@ -542,7 +542,7 @@
 		if q.finished {
 			continue
 		}
-		if r.closing(q) || r.now+r.soonest(q) > q.last {
+		if r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last {
 			if q.open == 0 {
 				r.finish(q)
 			}
--- a/router_test.go
+++ b/router_test.go
@@ -406,6 +406,22 @@
 	}
 }
 
+// TestKeyWindowEndsWhileHeld: a keyed request that may have run waits for a primary. When the window is over it cannot go again, and
+// has its answer at once, not at its client's end.
+func TestKeyWindowEndsWhileHeld(t *testing.T) {
+	g := trio(t, nil)
+	g.ask("1", cWrite)
+	g.now += 100 * ms
+	g.r.bad(g.r.stores["p"])
+	g.wantNone(Send, g.end("1", 0, "p", Failed))
+	if got := finals(g.pass(1880 * ms)); len(got) != 0 {
+		t.Fatalf("inside the window: %+v", got)
+	}
+	if got := of(Fail, g.pass(30*ms)); len(got) != 1 {
+		t.Errorf("after the window: %+v", got)
+	}
+}
+
 func TestNeverTwoInFlightWhereNotAllowed(t *testing.T) {
 	g := trio(t, func(s *Settings) { s.MayDuplicate = false })
 	first := of(Send, g.ask("1", cAny))[0].Store
