Look whether the own address is free without listening on it

Seen: reading Run for clients that come while a program starts anew. The look whether another listens on the address listened itself and closed again before gnet listened: a client that connected between the two was taken by the machine and reset, with no answer. After a kill or a planned restart clients come again at once.

Now the look binds the address and does not listen, so that such a client is refused and tries again.

Ruled out: closing connections of the program before, which do not keep the address (SO_REUSEADDR).

TestAddressInUse fails without the mend: the client that comes meanwhile is taken.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -125,13 +125,14 @@
 
 // Run listens on addr and serves until End.
 func (l *Loop) Run(addr string) error {
-	// SO_REUSEPORT makes gnet accept on the one loop instead of on a second one; without this look an
-	// address in use would then be shared in silence.
-	probe, err := net.Listen("tcp", addr)
+	// SO_REUSEPORT makes gnet accept on the one loop instead of on a second one; without this look an address in use
+	// would then be shared in silence. The look must not listen itself: clients come to a program that starts anew as
+	// soon as they can, and its close would reset those that came.
+	fd, err := hold(addr)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	if err := probe.Close(); err != nil {
+	if err := unix.Close(fd); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	err = gnet.Run(l, "tcp://"+addr, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
@@ -143,6 +144,28 @@
 	return nil
 }
 
+// hold takes addr, without listening on it, unless another listens there; the descriptor returned holds it.
+func hold(addr string) (fd int, err error) {
+	a, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		return 0, err
+	}
+	if fd, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0); err != nil {
+		return 0, fmt.Errorf("socket: %w", err)
+	}
+	to := &unix.SockaddrInet4{Port: a.Port}
+	copy(to.Addr[:], a.IP.To4())
+	// Connections of the program before may still be closing.
+	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		err = unix.Bind(fd, to)
+	}
+	if err != nil {
+		_ = unix.Close(fd)
+		return 0, fmt.Errorf("%s: %w", addr, err)
+	}
+	return fd, nil
+}
+
 // End stops the loop; Run returns.
 func (l *Loop) End() {
 	go func() { _ = l.eng.Stop(context.Background()) }()
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -1,11 +1,14 @@
 package loop
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"beechgrade/internal/clock"
 )
 
@@ -53,3 +56,33 @@
 		t.Error(err)
 	}
 }
+
+// TestAddressInUse: an address on which another listens is not shared with it; one whose connections are only closing still is
+// taken. A client that comes while the program looks is refused, and not taken and then reset.
+func TestAddressInUse(t *testing.T) {
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := other.Addr().String()
+	if _, err := hold(addr); !errors.Is(err, unix.EADDRINUSE) {
+		t.Errorf("while another listens: %v", err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := other.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, _ = far.Close(), c.Close(), other.Close() // the listener's side is in TIME_WAIT
+	fd, err := hold(addr)
+	if err != nil {
+		t.Fatalf("while a connection is closing: %v", err)
+	}
+	defer func() { _ = unix.Close(fd) }()
+	if _, err := net.Dial("tcp", addr); !errors.Is(err, unix.ECONNREFUSED) {
+		t.Errorf("a client that comes meanwhile: %v", err)
+	}
+}
