Tell a request as gone whose client went in the very call that put it

Seen: reading session.query for a close within Ask. Ask may bring about the answer to an earlier command of the same client, whose write can find the connection broken. Closed then tells each open request as gone, this one by a name that it does not have yet (Ref 0), and unsets a.open, which was what query asked afterwards. The request stayed with the core for nobody, to be sent when a server was free.

Now query asks whether the session is closed. To tell a request as gone that is over does nothing.

Ruled out: requests put before, whose names are known; answers that come later, which go through Closed as a whole.

TestClosedWhileItAsks fails without the mend: told {0 0} and {1 1}, never {7 3}.

--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -268,7 +268,7 @@
 	case err != nil:
 		a.open = false
 		a.finish(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", codeSyntax, err.Error(), "")))
-	case a.open && s.closed:
+	case s.closed: // by what the request led to, before it had a name here
 		s.front.desk.Gone(ref)
 	case a.open:
 		a.ref = ref
