Take a write whose commit cannot be read for as late as its answer

Seen: reading onOutcome for answers whose ParameterStatus cannot be read. Where the pooler itself has to remember its sessions' commits, a write that went through with no position that could be read was not remembered at all, so the session's next read went to a replica that need not have the write; db servers that do not check answer it from older data.

Now it counts as committed at its answer, which is no earlier than it was.

TestRememberedSessions, with this case added, fails without the mend: r2 goes to replica a.

--- a/router.go
+++ b/router.go
@@ -634,8 +634,8 @@
 			o.passed++
 		}
 		r.alive(s, a)
-		if q.class.Read == Write && r.set.KeptTokens && e.Told.HasPosition {
-			r.remember(q.session, e.Told.Position)
+		if q.class.Read == Write && r.set.KeptTokens {
+			r.remember(q.session, e.Told)
 		}
 	case Missed:
 		r.alive(s, a)
--- a/router_test.go
+++ b/router_test.go
@@ -281,9 +281,17 @@
 	g.do(&Request{ID: "r", Class: cSession, Due: g.now + time.Second, Session: "s"})
 	got := append(g.report("a", RoleReplica, g.now-51*ms), g.report("b", RoleReplica, g.now-51*ms)...)
 	g.wantSend(append(got, g.pass(2*beat)...), "r", "p")
+	// An answer whose commit cannot be read is as late as can be: a replica known up to just before it is not enough.
+	g.do(&Request{ID: "w2", Class: cWrite, Due: g.now + time.Second, Session: "s2"})
+	g.now += 50 * ms
+	g.do(&Outcome{ID: "w2", Store: "p", Final: true, Told: Report{Role: RolePrimary}})
+	g.report("a", RoleReplica, g.now-1*ms)
+	g.report("b", RoleReplica, g.now-1*ms)
+	got = g.do(&Request{ID: "r2", Class: cSession, Due: g.now + time.Second, Session: "s2"})
+	g.wantSend(append(got, g.pass(2*beat)...), "r2", "p")
 	for i := range sessionsKept + 1 {
-		g.r.remember(fmt.Sprint(i), g.now)
-		g.r.remember(fmt.Sprint("more", i), g.now)
+		g.r.remember(fmt.Sprint(i), Report{Position: g.now, HasPosition: true})
+		g.r.remember(fmt.Sprint("more", i), Report{Position: g.now, HasPosition: true})
 	}
 	if n := len(g.r.commits); n > sessionsKept {
 		t.Errorf("%d sessions kept", n)
--- a/state.go
+++ b/state.go
@@ -288,8 +288,13 @@
 	r.flow, r.musts = r.sends/max(r.flowSpan, 1), r.mustWork/max(r.flowSpan, 1)
 }
 
-// remember keeps a session's last commit. One dropped counts as late as any that was.
-func (r *Router) remember(session string, at Time) {
+// remember keeps a session's last commit, as late as its answer where that does not tell. One dropped counts as late as
+// any that was.
+func (r *Router) remember(session string, told Report) {
+	at := r.now
+	if told.HasPosition {
+		at = told.Position
+	}
 	if r.commits == nil || len(r.commits) >= sessionsKept {
 		for _, t := range r.commits {
 			r.forgotten = max(r.forgotten, t)
