Tell a client for which there is no room when to come back

Now it is told 2 s, after which connections that rest are closed to make room, or the longest that the settings allow if that is less.

Ruled out: refusals of requests, which carry the module's wait.

TestTurnedAwayWithAWord, now with the field, fails without the mend.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -56,7 +56,7 @@
 	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
 		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
-		Memory: memory})
+		Memory: memory, RetryMs: clock.Millis(cfg.Settings.MaxRetryAfter)})
 	return p
 }
 
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -554,18 +554,23 @@
 	ask(mute)
 }
 
-// TestTurnedAwayWithAWord: a client for which there is no room is told so though it has sent its request already: a close with
-// that unread would be a reset, which may overtake the word.
+// TestTurnedAwayWithAWord: a client for which there is no room is told so, and when to come back where the settings allow that,
+// though it has sent its request already: a close with that unread would be a reset, which may overtake the word.
 func TestTurnedAwayWithAWord(t *testing.T) {
 	addr, _ := server(t)
-	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) {
+		c.Limits.Sockets, c.Settings.MaxRetryAfter = reserved+10, 1500*time.Millisecond
+	})
 	for n := range 6 { // four of which have a connection to the server
 		client(t, pooler).send(query(fmt.Sprint(n), "write", 19000)) // never answered
 	}
 	for range 20 {
 		c := dial(t, pooler)
 		c.send(append(pgwire.AppendStartup(nil, "backend", "store"), query("x", "read", 9000)...))
-		c.want("E$ 53300")
+		if typ, body := c.message(); typ != 'E' || pgwire.ErrorCode(body) != "53300" || !strings.Contains(string(body), "\x00D1500\x00") {
+			t.Fatalf("told %q %q", typ, body)
+		}
+		c.want("$")
 		_ = c.Close()
 	}
 }
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -26,6 +26,8 @@
 	Share  func() int  // clients with requests beyond which idle ones make room
 	Free   func() bool // frees a descriptor that something else uses, and tells whether there was one
 	Memory func() int  // bytes
+
+	RetryMs float64 // the longest that a client may be told to stay away, 0 for no such advice
 }
 
 // use ranks clients by what closing their connection would cost.
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -127,7 +127,8 @@
 		return
 	}
 	if !s.front.admit(s) {
-		s.fatal(codeRefused, "too many clients")
+		// By then those that rest have made room.
+		s.fatalUntil(codeRefused, "too many clients", min(restMs, s.front.budget.RetryMs))
 	}
 	s.place()
 }
@@ -293,9 +294,12 @@
 }
 
 // fatal ends the connection with a word.
-func (s *session) fatal(code, text string) {
+func (s *session) fatal(code, text string) { s.fatalUntil(code, text, 0) }
+
+// fatalUntil is fatal, with advice when to come back where that is not 0.
+func (s *session) fatalUntil(code, text string, retryMs float64) {
 	if !s.closed && !s.ended {
-		s.end(pgwire.AppendError(s.out[:0], "FATAL", code, text, ""))
+		s.end(pgwire.AppendError(s.out[:0], "FATAL", code, text, retryDetail(retryMs)))
 	}
 }
 
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -78,11 +78,16 @@
 
 // Refused is Client's.
 func (a *answer) Refused(retryMs float64) {
-	detail := ""
-	if retryMs > 0 {
-		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeRefused, "no server can take this now",
+		retryDetail(retryMs))))
+}
+
+// retryDetail is the field D of a refusal.
+func retryDetail(ms float64) string {
+	if ms <= 0 {
+		return ""
 	}
-	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeRefused, "no server can take this now", detail)))
+	return strconv.Itoa(int(math.Ceil(ms)))
 }
 
 // Failed is Client's.
