Take from the settings which fields a load report has

Seen: looking for what is fitted to one customer. A probe's report was held unreadable unless it told a position and a role (Pool.report), which is what this site's reports have (telemetry.fields = x0,x1). Where the settings name others, every probe "told nothing", and a server that is new in the list, which a probe has to find alive first, was never used.

Now only fields that the settings name have to be there.

TestReportOfOtherFields fails without the mend ("busy_reqs=7": result 1).

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -47,7 +47,7 @@
 	part := func(x float64) int { return int(x * float64(sockets())) }
 	memory := func() int { return p.cfg.Limits.MemoryMB << 20 }
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
-		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
+		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ReportFields: cfg.ReportFields, ConnectTimeoutMs: cfg.ConnectTimeoutMs,
 		IdleMs: cfg.IdleMs * idlePart, Memory: memory,
 		MaxConns: func() int { return min(part(poolMost), sockets()-p.front.Sessions()) }}, p.core)
 	spare := func() int {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -48,6 +48,7 @@
 	User, Database   string
 	Roles            [2]string // names of the primary's and a replica's role
 	PositionName     string
+	ReportFields     []string // that a load report has
 	ConnectTimeoutMs float64
 	IdleMs           float64    // a connection idle for so long is closed
 	MaxConns         func() int // over all servers, by the descriptors left now
@@ -603,7 +604,7 @@
 }
 
 // report reads a load report's row. One with nothing in it, as a server that has none yet sends, tells that
-// the server is there; one that cannot be read tells nothing.
+// the server is there; one that cannot be read, or lacks a field that it should have, tells nothing.
 func (p *Pool) report(row []byte) Outcome {
 	o := Outcome{Result: beechgrade.OK}
 	col, err := pgwire.Column(row)
@@ -622,7 +623,8 @@
 			o.Role = beechgrade.RoleReplica
 		}
 	}
-	if !o.HasPos || o.Role == beechgrade.RoleUnknown {
+	if !o.HasPos && slices.Contains(p.opt.ReportFields, "x0") ||
+		o.Role == beechgrade.RoleUnknown && slices.Contains(p.opt.ReportFields, "x1") {
 		return Outcome{Result: beechgrade.Failed}
 	}
 	return o
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -363,7 +363,7 @@
 
 // TestReport guards against believing half of a report that cannot be read, or a position that no server can have.
 func TestReport(t *testing.T) {
-	p := &Pool{loop: loop.New(&clock.Manual{Ms: 5000}, nil, nil, nil)}
+	p := &Pool{loop: loop.New(&clock.Manual{Ms: 5000}, nil, nil, nil), opt: Options{ReportFields: []string{"x0", "x1"}}}
 	unreadable := Outcome{Result: beechgrade.Failed}
 	for report, want := range map[string]Outcome{
 		"":                       {Result: beechgrade.OK}, // it has none yet
@@ -387,6 +387,26 @@
 	}
 }
 
+// TestReportOfOtherFields: which fields a report has is for the settings to say. A server whose report has none that tell of
+// positions or roles is there all the same; taken for unreadable, a new one would never be used.
+func TestReportOfOtherFields(t *testing.T) {
+	p := &Pool{loop: loop.New(&clock.Manual{Ms: 5000}, nil, nil, nil), opt: Options{ReportFields: []string{"busy_reqs", "x0"}}}
+	for report, want := range map[string]Outcome{
+		"busy_reqs=7,x0=4.25": {Result: beechgrade.OK, Position: 4250, HasPos: true},
+		"busy_reqs=7":         {Result: beechgrade.Failed},
+	} {
+		row := append([]byte{0, 1, 0, 0, 0, byte(len(report))}, report...)
+		if diff := cmp.Diff(want, p.report(row)); diff != "" {
+			t.Errorf("%q: %s", report, diff)
+		}
+	}
+	p.opt.ReportFields = []string{"busy_reqs"}
+	const report = "busy_reqs=7"
+	if got := p.report(append([]byte{0, 1, 0, 0, 0, byte(len(report))}, report...)); got.Result != beechgrade.OK {
+		t.Errorf("%q: result %v", report, got.Result)
+	}
+}
+
 // TestMemoryForAnswers: answers that are coming in share a part of the memory. One that would take more is given up, or servers
 // with large values would have the program killed. The clock stands still, so that none is given up for its time.
 func TestMemoryForAnswers(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,6 +38,7 @@
 	Settings  beechgrade.Settings
 
 	Classes, Zones, Kinds []string // names, by the module's numbers
+	ReportFields          []string // that servers' load reports have
 	ConnectTimeoutMs      float64
 	IdleMs                float64 // servers close a connection idle for so long
 }
@@ -168,7 +169,7 @@
 	if len(c.Classes) == 0 {
 		return errors.New("settings: request_classes: none given")
 	}
-	c.Zones, c.Kinds = names(pairs["zones"]), names(pairs["kinds"])
+	c.Zones, c.Kinds, c.ReportFields = names(pairs["zones"]), names(pairs["kinds"]), names(pairs["telemetry.fields"])
 	if c.ConnectTimeoutMs, err = millis(pairs, "allowed.connect_timeout_ns", defaultConnect); err != nil {
 		return err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,6 +12,7 @@
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"generation":41,"reset":true,"instances":[{"instanceId":"s-1"}]},
  "settings":{"allowed":{"connect_timeout_ns":120000000,"probes":true},"zones":["z"],"kinds":["k1","k2"],
   "family_info":{"class_read":["lag_bound","mutate"],"staleness_bound_ns":[200000000,0]},
+  "telemetry":{"source":"probe","fields":["busy_reqs","x0"]},
   "request_classes":[{"name":"a","slo_ns":200000000,"effect":"retryable"},{"name":"b","effect":"fragile"}]}}`
 
 func TestParse(t *testing.T) {
@@ -21,9 +22,9 @@
 		t.Fatal(err)
 	}
 	got := []any{c.Listen, c.Seed, c.Limits.Sockets, c.Known.Generation, c.Classes, c.Kinds, c.ConnectTimeoutMs, c.IdleMs,
-		c.Settings.Classes[0].Bound, c.Settings.Classes[0].Aim, c.Settings.MayProbe}
+		c.Settings.Classes[0].Bound, c.Settings.Classes[0].Aim, c.Settings.MayProbe, c.ReportFields}
 	want := []any{"127.0.0.2:1", uint64(0x8c1f30d27a5be964), 1024, int64(41), []string{"a", "b"}, []string{"k1", "k2"}, 120.0,
-		30000.0, 200 * time.Millisecond, 200 * time.Millisecond, true}
+		30000.0, 200 * time.Millisecond, 200 * time.Millisecond, true, []string{"busy_reqs", "x0"}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
