Ask whether clients are owed anything only once connections are closed

Owes looks at each connection's socket since it counts what waits to be read; on every look of a drain that is a system call a client every 20 ms for seconds.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -114,8 +114,8 @@
 	p.loop.At(began+longest+drainClose, p.front.Drain)
 	var look func()
 	look = func() {
-		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0
-		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
+		now := p.loop.Now()
+		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && p.busy() {
 			p.loop.At(now+pollMs, look)
 			return
 		}
@@ -125,3 +125,6 @@
 	}
 	look()
 }
+
+// busy tells whether anybody is owed anything.
+func (p *pooler) busy() bool { return p.core.Open() > 0 || p.front.Owes() }
