Let a remembered session not keep its whole statement in memory

A trial with sizes logged each 20 s: sessions, connections, requests and timers stay level, the heap and the remembered commits grow side by side,

60.022 heap=4198 ... timers=36 core=58/... stores9 ... commits806 180.027 heap=12262 ... timers=47 core=55/... stores9 ... commits2471 280.049 heap=13455 ... timers=57 core=40/... stores9 ... commits3719

over 3 KB for a commit, which is a key of 16 characters and a time. ParseStatement cut the key out of the statement's text, so each session that has written kept its whole INSERT, value included, and up to 20000 sessions are remembered.

Now the key is a copy.

Ruled out: connections, timers, requests and servers that left the list, by the same lines; goroutines (8 to 29).

TestKeyDoesNotKeepItsStatement fails without the mend.

--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"unsafe"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
@@ -140,3 +141,18 @@
 		}
 	}
 }
+
+// TestKeyDoesNotKeepItsStatement: a session is remembered by its key long after its statement, which may hold a large value; a key
+// that is a part of that text would keep all of it.
+func TestKeyDoesNotKeepItsStatement(t *testing.T) {
+	sql := strings.Clone("INSERT INTO kv (name, content) VALUES ('7f3a', '" + strings.Repeat("0", 1<<16) +
+		"') RETURNING content /* id=1,c=order,d=480,cluster=2 */")
+	s, err := ParseStatement(sql)
+	if err != nil || s.Key != "7f3a" {
+		t.Fatalf("key %q, error %v", s.Key, err)
+	}
+	from, key := uintptr(unsafe.Pointer(unsafe.StringData(sql))), uintptr(unsafe.Pointer(unsafe.StringData(s.Key)))
+	if key >= from && key < from+uintptr(len(sql)) {
+		t.Error("the key lies within the statement's text")
+	}
+}
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -101,7 +101,8 @@
 		return Statement{}, fmt.Errorf("comment: id or c of over %d bytes: %w", maxName, ErrNoComment)
 	}
 	if _, rest, ok := strings.Cut(body[:from], "'"); ok {
-		s.Key, _, _ = strings.Cut(rest, "'")
+		key, _, _ := strings.Cut(rest, "'")
+		s.Key = strings.Clone(key) // it outlives the statement, which may be large, where sessions are remembered
 	}
 	return s, nil
 }
