Send nothing for which the time is up, however late the loop is

Seen: reading Conn.ready for late timers. An attempt that waits for a connection ends by a timer at its request's end. Timers run between the loop's other callbacks, so in a turn that comes late the news that the connection is up can come before it, and ready sent the query all the same, told its server a time of 1 ms, and had it out after its client's end.

Now ready asks for the end as it does for what makes the send right.

Ruled out: sends on idle connections, which core.send checks in the same call.

TestTooLateForItsSend, with this case added, fails without the mend ("no end was told").

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -275,7 +275,7 @@
 }
 
 // late tells whether an attempt may not be sent any more.
-func (p *Pool) late(a *attempt) bool { return p.loop.Now() >= a.by }
+func (p *Pool) late(a *attempt) bool { return p.loop.Now() >= min(a.by, a.until) }
 
 // dial opens one more connection, if the budget allows it; else those that wait take what comes free.
 func (p *Pool) dial(s *store) {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -271,10 +271,15 @@
 }
 
 // TestTooLateForItsSend: an attempt may be right for a while only, by the age of its server's data or the window in which repeats are
-// dropped. Its connection comes up after that, whichever of the two the loop comes to first: it was never sent, and another
-// that waits takes the connection.
+// dropped, and nobody waits for it after its end. Its connection comes up after that, whichever of the two the loop comes to
+// first: it was never sent, and another that waits takes the connection.
 func TestTooLateForItsSend(t *testing.T) {
-	for _, timer := range []bool{true, false} {
+	for name, late := range map[string]func(a *attempt, now float64){
+		"by its timer": nil,
+		// As if the clock went on while the loop is at the connections: its deadlines come after them.
+		"its send": func(a *attempt, now float64) { a.by = now },
+		"its end":  func(a *attempt, now float64) { a.until = now },
+	} {
 		events, server := make(told, 9), listen(t)
 		r := newRig(t, events, options())
 		r.do(func() {
@@ -283,7 +288,7 @@
 			r.pool.Start("s", events, r.clk.Ms+9000, math.Inf(1), true, Tag{No: 1})
 		})
 		slow := []net.Conn{accept(t, server), accept(t, server)}
-		if timer {
+		if late == nil {
 			r.do(func() { r.clk.Ms += 100 })
 		}
 		r.do(func() {
@@ -295,13 +300,12 @@
 					runtime.Gosched()
 				}
 			})
-			if !timer {
-				// As if the clock went on while the loop is at the connections: its deadlines come after them.
-				r.pool.stores["s"].waiting[0].by = r.clk.Ms
+			if late != nil {
+				late(r.pool.stores["s"].waiting[0], r.clk.Ms)
 			}
 		})
 		if o := r.next(); o.Result != beechgrade.Skipped {
-			t.Errorf("by its timer %v: result %v", timer, o.Result)
+			t.Errorf("%s: result %v", name, o.Result)
 		}
 		r.until(func() bool { return r.pool.busyConn() != nil })
 		r.do(func() { r.pool.Drain("s") })
@@ -313,7 +317,7 @@
 			}
 		}
 		if got != 1 {
-			t.Errorf("by its timer %v: %d queries were sent, want 1", timer, got)
+			t.Errorf("%s: %d queries were sent, want 1", name, got)
 		}
 	}
 }
