Log and count states, why connections are closed and why requests are given up

Cause: the evidence named no reason for any close, and nothing counted failed calls; the process's states were not named. Change: internal/metrics counts by family (requests, attempts, closed, states, discovery calls) and is logged every 10 s while it changes and at the end; every close from this side has a reason; refusals, failures and requests whose client has gone say why; the process's states are a type with one transition function.

--- a/api.go
+++ b/api.go
@@ -140,6 +140,18 @@
 	Missed             // turned away untouched: not the primary, or too far behind
 )
 
+// resultNames are the results' names in reasons and logs.
+var resultNames = [...]string{OK: "ok", Failed: "failed", Full: "full", TimedOut: "timedout", Unreachable: "unreachable",
+	Reset: "reset", Cancelled: "cancelled", Skipped: "skipped", Missed: "missed"}
+
+// String is the result's name.
+func (r Result) String() string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "unknown"
+}
+
 // Role is what an answer or report tells of a server's role.
 type Role uint8
 
@@ -256,5 +268,5 @@
 	At      Time
 	By      Time // one that has to wait for a connection for longer ends as Skipped
 	Tag     int64
-	Text    string
+	Text    string // of a Log; of a Refuse or Fail: why
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/metrics"
 )
 
 const (
@@ -27,6 +28,23 @@
 	drainMost  = 10000 // a client that never goes does not keep the process
 )
 
+// state is where the process stands between its start and its end.
+type state int
+
+// The states, in their order.
+const (
+	starting state = iota // nobody is served yet
+	serving
+	draining // told to end: clients are served as before
+	closing  // clients' connections are closed as they fall idle; what is owed is answered
+	ended
+)
+
+var stateNames = [...]string{starting: "starting", serving: "serving", draining: "draining", closing: "closing", ended: "ended"}
+
+// String is the state's name.
+func (s state) String() string { return stateNames[s] }
+
 // pooler is the program's parts, joined.
 type pooler struct {
 	cfg   *config.Config
@@ -37,6 +55,7 @@
 	pool  *backend.Pool
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
+	state state
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
@@ -60,11 +79,32 @@
 	return p
 }
 
+// enter is the one place where the state changes. It only goes forward.
+func (p *pooler) enter(next state) {
+	if next <= p.state {
+		return
+	}
+	p.log.Info("state", "from", p.state, "to", next, "sessions", p.front.Sessions(), "open", p.core.Open(), "owes", p.front.Owes())
+	p.loop.Metrics().Add(metrics.States, next.String())
+	p.state = next
+}
+
+// countersMs is the time between two lines with the counters.
+const countersMs = 10000
+
+// logCounters logs the counters now and from time to time.
+func (p *pooler) logCounters() {
+	p.loop.Metrics().Log(p.log)
+	p.loop.At(p.loop.Now()+countersMs, p.logCounters)
+}
+
 // start runs on the loop before anything else.
 func (p *pooler) start() {
 	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
 	p.core.Start(p.pool, p.dir)
 	p.front.Start()
+	p.logCounters()
+	p.enter(serving)
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
@@ -109,9 +149,12 @@
 		longest = max(longest, clock.Millis(c.Deadline))
 	}
 	longest = min(longest, deadlineMs)
-	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
+	p.enter(draining)
 	p.core.EndAt(began + longest + drainEnd)
-	p.loop.At(began+longest+drainClose, p.front.Drain)
+	p.loop.At(began+longest+drainClose, func() {
+		p.enter(closing)
+		p.front.Drain()
+	})
 	var look func()
 	look = func() {
 		now := p.loop.Now()
@@ -119,7 +162,9 @@
 			p.loop.At(now+pollMs, look)
 			return
 		}
+		p.enter(ended)
 		p.log.Info("drained", "ms", now-began)
+		p.loop.Metrics().Log(p.log)
 		p.front.End() // the loop takes a moment to end
 		p.loop.End()
 	}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -64,6 +64,19 @@
 	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
 )
 
+// Why this side closes a connection to a server.
+const (
+	closeMoved     loop.Reason = "backend.moved"     // the list shows the server at another address
+	closeDraining  loop.Reason = "backend.draining"  // the server drains
+	closeGone      loop.Reason = "backend.gone"      // the server has left the list
+	closeNotQuiet  loop.Reason = "backend.not_quiet" // something came that was not asked for, or the server's end
+	closeSlowStart loop.Reason = "backend.slow"      // it did not come up in time
+	closeRoom      loop.Reason = "backend.room"      // its descriptor is needed
+	closeGivenUp   loop.Reason = "backend.given_up"  // its attempt was given up
+	closeIdle      loop.Reason = "backend.idle"      // it has been idle for as long as the settings allow
+	closeSpoilt    loop.Reason = "backend.spoilt"    // the server broke the protocol
+)
+
 // Pool holds the connections to all servers.
 type Pool struct {
 	loop     *loop.Loop
@@ -160,13 +173,13 @@
 	}
 	if s.addr != addr {
 		s.addr = addr
-		s.closeIdle()
+		s.closeIdle(closeMoved)
 	}
 }
 
-func (s *store) closeIdle() {
+func (s *store) closeIdle(why loop.Reason) {
 	for len(s.idle) > 0 {
-		s.idle[0].c.Close()
+		s.idle[0].c.Close(why)
 	}
 }
 
@@ -174,7 +187,7 @@
 // never sent, as the news binds the moment at which it would be.
 func (p *Pool) Drain(id string) {
 	if s := p.stores[id]; s != nil {
-		s.closeIdle()
+		s.closeIdle(closeDraining)
 		p.skipWaiting(s)
 	}
 }
@@ -192,7 +205,7 @@
 	if s == nil {
 		return
 	}
-	s.closeIdle()
+	s.closeIdle(closeGone)
 	delete(p.stores, id)
 	s.addr = "" // its connections are closed once they are free
 	p.skipWaiting(s)
@@ -259,7 +272,7 @@
 		// The server may have closed it, with the news still on its way through the loop: a request
 		// written now would end as a reset, and an unsafe one could not be tried again.
 		if !c.c.Quiet() {
-			c.c.Close()
+			c.c.Close(closeNotQuiet)
 			continue
 		}
 		if a.once && p.loop.Now()-c.since >= p.wear.limit { // as far as can be told, it may be of no use
@@ -288,7 +301,7 @@
 	s.dialing++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
 		if c.state == greeting {
-			c.c.Close()
+			c.c.Close(closeSlowStart)
 		} else {
 			c.failed()
 		}
@@ -312,7 +325,7 @@
 	if oldest == nil {
 		return false
 	}
-	oldest.c.Close()
+	oldest.c.Close(closeRoom)
 	return true
 }
 
@@ -324,7 +337,7 @@
 	}
 	if c != nil {
 		c.attempt, a.conn = nil, nil // before the close, which would report a reset...
-		c.c.Close()                  // ...and that before the end, which may have the request sent elsewhere at once
+		c.c.Close(closeGivenUp)      // ...and that before the end, which may have the request sent elsewhere at once
 		p.end(a, Outcome{Result: r})
 		return
 	}
@@ -382,7 +395,7 @@
 func (c *conn) Opened(lc *loop.Conn) {
 	c.c = lc
 	if c.state == closed { // given up meanwhile
-		lc.Close()
+		lc.Close(closeSlowStart)
 		return
 	}
 	c.state = greeting
@@ -395,8 +408,12 @@
 	c.since = c.pool.loop.Now()
 	// Where the server has moved since, whatever still listens there is another. What it sent beyond its answer
 	// would be taken for the answer to the next request.
-	if c.addr != c.store.addr || c.in.Pending() > 0 || !c.c.Quiet() {
-		c.c.Close()
+	if c.addr != c.store.addr {
+		c.c.Close(closeMoved)
+		return
+	}
+	if c.in.Pending() > 0 || !c.c.Quiet() {
+		c.c.Close(closeNotQuiet)
 		return
 	}
 	p := c.pool
@@ -414,7 +431,7 @@
 	c.idleNo = p.idleSeq
 	c.store.idle = append(c.store.idle, c)
 	p.loop.Stop(c.timer)
-	c.timer = p.loop.At(p.loop.Now()+p.opt.IdleMs, c.c.Close)
+	c.timer = p.loop.At(p.loop.Now()+p.opt.IdleMs, func() { c.c.Close(closeIdle) })
 }
 
 // carry writes an attempt's query.
@@ -454,7 +471,7 @@
 func (c *conn) Data(b []byte) {
 	if c.state == idle { // nothing was asked: it would answer what is asked next
 		c.pool.log.Warn("server sent what was not asked for", "store", c.store.id, "bytes", len(b))
-		c.c.Close()
+		c.c.Close(closeNotQuiet)
 		return
 	}
 	c.in.Feed(b)
@@ -512,7 +529,7 @@
 		c.pool.drop(c.attempt, beechgrade.Failed)
 		return
 	}
-	c.c.Close()
+	c.c.Close(closeSpoilt)
 }
 
 func (c *conn) message(m pgwire.Message) {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -221,7 +221,7 @@
 					for out.c.Quiet() { // until the end is there to be read
 						runtime.Gosched()
 					}
-					out.c.Close()
+					out.c.Close("test")
 				}
 			})
 			n, _ := io.Copy(io.Discard, far)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/metrics"
 	"beechgrade/internal/slots"
 )
 
@@ -86,6 +87,7 @@
 	class, group int
 	arrived      float64
 	repeat       bool
+	why          string // the module's reason for a refusal or failure
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -154,12 +156,12 @@
 }
 
 // Gone is front.Desk's.
-func (c *Core) Gone(ref slots.Ref) {
+func (c *Core) Gone(ref slots.Ref, why string) {
 	q, ok := c.requests.Get(ref)
 	if !ok || q.over {
 		return
 	}
-	q.over = true
+	q.over, q.why = true, why
 	c.trace(q, "gone")
 	c.release(ref, q)
 	c.tell(&beechgrade.Expired{ID: requestID(ref)})
@@ -174,6 +176,7 @@
 	q.open--
 	y := &q.tries[t.No]
 	y.ended, y.waited, y.result = c.loop.Now(), o.WaitedMs, o.Result
+	c.loop.Metrics().Add(metrics.Attempts, o.Result.String())
 	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
 		q.client.Served(o.Answer)
@@ -274,11 +277,13 @@
 		}
 	case beechgrade.Refuse:
 		if q := c.conclude(a.ID); q != nil {
+			q.why = a.Text
 			c.trace(q, "refused")
 			q.client.Refused(clock.Millis(a.Wait))
 		}
 	case beechgrade.Fail:
 		if q := c.conclude(a.ID); q != nil {
+			q.why = a.Text
 			c.trace(q, "failed")
 			q.client.Failed()
 		}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -123,7 +123,7 @@
 			if _, err := r.core.Ask(front.Request{ID: "2", Class: "read", Due: now + 500, Query: told}, told); err != nil {
 				t.Error(err)
 			}
-			r.core.Gone(ref)
+			r.core.Gone(ref, "peer")
 		})
 		slow := []net.Conn{r.accept(), r.accept()}
 		r.do(func() { r.clk.Ms += 500 })
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"strings"
 
-	"beechgrade"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/metrics"
 )
 
 // tracesEach bounds the lines about requests that ended badly, per second: on a bad day most do.
@@ -18,14 +18,11 @@
 	omitted int   // since the last line
 }
 
-var results = [...]string{beechgrade.OK: "ok", beechgrade.Failed: "failed", beechgrade.Full: "full",
-	beechgrade.TimedOut: "timedout", beechgrade.Unreachable: "unreachable", beechgrade.Reset: "reset",
-	beechgrade.Cancelled: "cancelled", beechgrade.Skipped: "skipped", beechgrade.Missed: "missed"}
-
 // trace logs how a request ended, unless that was well: each attempt with its server, the time from the request's
 // arrival to its start, on its connection and at its end, in milliseconds, and its result.
 func (c *Core) trace(q *request, how string) {
 	now := c.loop.Now()
+	c.loop.Metrics().Add(metrics.Requests, how)
 	if how == "served" && now-q.arrived <= clock.Millis(c.cfg.Settings.Classes[q.class].Aim) {
 		return
 	}
@@ -42,12 +39,12 @@
 		y := &q.tries[i]
 		fmt.Fprintf(&b, "%s:%.0f+%.0f", y.store, y.began-q.arrived, y.waited)
 		if y.ended > 0 {
-			fmt.Fprintf(&b, "-%.0f:%s", y.ended-q.arrived, results[y.result])
+			fmt.Fprintf(&b, "-%.0f:%s", y.ended-q.arrived, y.result)
 		}
 		b.WriteByte(' ')
 	}
 	c.log.Info("request ended", "id", q.id, "how", how, "class", c.cfg.Classes[q.class], "group", q.group,
-		"repeat", q.repeat, "ms", int(now-q.arrived), "patience", int(q.due-q.arrived), "tries", strings.TrimSpace(b.String()),
+		"repeat", q.repeat, "why", q.why, "ms", int(now-q.arrived), "patience", int(q.due-q.arrived), "tries", strings.TrimSpace(b.String()),
 		"omitted", t.omitted)
 	t.omitted = 0
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/metrics"
 )
 
 // silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s. A machine that
@@ -21,6 +22,9 @@
 // maxInstances bounds a list: more than that is no group of servers but a fault.
 const maxInstances = 10000
 
+// closeOver says that the call on a connection is over.
+const closeOver loop.Reason = "discovery.over"
+
 // connectMs bounds a connection's coming up.
 const connectMs = 1000
 
@@ -148,7 +152,7 @@
 	}
 	c.loop.Stop(k.timer)
 	if k.conn != nil {
-		k.conn.Close()
+		k.conn.Close(closeOver)
 	}
 	wanted := !k.watch || c.watch == k
 	if c.watch == k {
@@ -157,6 +161,7 @@
 	if err != nil && wanted {
 		c.ahead = false // the watch asked for because of this has to bring what this did not
 		c.log.Info("discovery", "call", k.path, "err", err)
+		c.loop.Metrics().Add(metrics.DiscoveryCalls, "failed")
 		c.events.ListFailed()
 	}
 }
@@ -165,7 +170,7 @@
 func (k *call) Opened(conn *loop.Conn) {
 	k.conn = conn
 	if k.over {
-		conn.Close()
+		conn.Close(closeOver)
 		return
 	}
 	_ = conn.Write([]byte("GET " + k.path + " HTTP/1.1\r\nHost: " + k.client.addr +
@@ -226,6 +231,7 @@
 func (k *call) listed(l *List) {
 	c, first := k.client, !k.told
 	k.told = true
+	c.loop.Metrics().Add(metrics.DiscoveryCalls, "listed")
 	switch {
 	case l.Generation >= c.gen || k.watch && l.Reset:
 	case !k.watch:
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -1,6 +1,9 @@
 package front
 
-import "beechgrade/internal/slots"
+import (
+	"beechgrade/internal/loop"
+	"beechgrade/internal/slots"
+)
 
 // Bounds on what a client may hold without asking for anything, in milliseconds.
 const (
@@ -20,6 +23,21 @@
 	heldPart   = 8       // of the memory, what waits here for clients or of theirs may take 1 in so many
 )
 
+// Why this side closes a client's connection.
+const (
+	closeLeft     loop.Reason = "front.left"      // it has had its last word and does not close
+	closeStuck    loop.Reason = "front.stuck"     // it does not read its answers
+	closeSilent   loop.Reason = "front.silent"    // it sends no startup message
+	closeIdle     loop.Reason = "front.idle"      // it has asked nothing for long
+	closeEvicted  loop.Reason = "front.evicted"   // it makes room for another
+	closeMemory   loop.Reason = "front.memory"    // it holds most while all hold too much
+	closeEnd      loop.Reason = "front.end"       // the program ends
+	closeDrain    loop.Reason = "front.drain"     // it rests while the program drains
+	closeProtocol loop.Reason = "front.protocol"  // it sends more after its end than is taken
+	closeCancel   loop.Reason = "front.cancel"    // it asked to cancel, which has no answer
+	closeLastWord loop.Reason = "front.last_word" // it has had its last word and cannot be given time to close
+)
+
 // Budget is what the machine allows.
 type Budget struct {
 	Spare  func() int  // descriptors left for clients, below 0 where there are too many clients
@@ -107,10 +125,14 @@
 		}
 		age := now - s.since
 		switch {
-		case s.leaving && age >= lingerMs, s.stuck != 0 && now-s.stuck >= stuckMs,
-			s.use == silent && s.in.Pending() == 0 && age >= startupMs,
-			(s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
-			s.conn.Close()
+		case s.leaving && age >= lingerMs:
+			s.conn.Close(closeLeft)
+		case s.stuck != 0 && now-s.stuck >= stuckMs:
+			s.conn.Close(closeStuck)
+		case s.use == silent && s.in.Pending() == 0 && age >= startupMs:
+			s.conn.Close(closeSilent)
+		case (s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
+			s.conn.Close(closeIdle)
 		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
 		case s.use == halfway && s.stuck == 0 && age >= messageMs:
@@ -162,7 +184,7 @@
 			return false
 		}
 		if u == leaving || u == halfway || s.conn.Quiet() {
-			s.conn.Close()
+			s.conn.Close(closeEvicted)
 			return true
 		}
 	}
@@ -183,6 +205,6 @@
 			return
 		}
 		p.log.Warn("a client holds too much", "bytes", most.held)
-		most.conn.Close()
+		most.conn.Close(closeMemory)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,5 +30,5 @@
 // Desk takes requests in. Ask may answer before it returns; the Ref it returns then names none.
 type Desk interface {
 	Ask(q Request, c Client) (slots.Ref, error)
-	Gone(ref slots.Ref) // its client has gone
+	Gone(ref slots.Ref, why string) // its client has gone, or its connection was closed here
 }
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -76,7 +76,7 @@
 	p.over = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
 		if s.conn != nil {
-			s.conn.Close()
+			s.conn.Close(closeEnd)
 		}
 	})
 }
@@ -86,7 +86,7 @@
 	p.draining = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
 		if s.idle() && s.conn.Quiet() {
-			s.conn.Close()
+			s.conn.Close(closeDrain)
 		}
 	})
 }
@@ -123,7 +123,7 @@
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
 	if s.front.over {
-		c.Close()
+		c.Close(closeEnd)
 		return
 	}
 	if !s.front.admit(s) {
@@ -137,7 +137,7 @@
 func (s *session) Data(b []byte) {
 	if s.ended {
 		if s.dropped += len(b); s.dropped > maxDropped && s.leaving {
-			s.conn.Close()
+			s.conn.Close(closeProtocol)
 		}
 		return
 	}
@@ -173,7 +173,7 @@
 		}
 	}
 	if s.front.draining && s.started && s.idle() && s.conn.Quiet() {
-		s.conn.Close()
+		s.conn.Close(closeDrain)
 	}
 }
 
@@ -233,7 +233,7 @@
 	case pgwire.StartupEncrypt:
 		s.send([]byte{'N'})
 	case pgwire.StartupCancel:
-		s.conn.Close()
+		s.conn.Close(closeCancel)
 	default:
 		s.started, s.since = true, s.front.loop.Now()
 		s.send(pgwire.AppendWelcome(s.out[:0]))
@@ -270,7 +270,7 @@
 		a.open = false
 		a.finish(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", codeSyntax, err.Error(), "")))
 	case s.closed: // by what the request led to, before it had a name here
-		s.front.desk.Gone(ref)
+		s.front.desk.Gone(ref, s.conn.Why())
 	case a.open:
 		a.ref = ref
 	}
--- a/internal/front/postgres_test.go
+++ b/internal/front/postgres_test.go
@@ -19,7 +19,7 @@
 }
 
 func (d desk) Ask(q Request, c Client) (slots.Ref, error) { return d.ask(q, c) }
-func (d desk) Gone(ref slots.Ref)                         { d.gone(ref) }
+func (d desk) Gone(ref slots.Ref, _ string)               { d.gone(ref) }
 
 // TestClosedWhileItAsks: a client's connection breaks at the answer to an earlier command, which the very request that it puts
 // has brought about, so that the request has no name at its session yet. It is told as gone all the same, or it would be
@@ -38,7 +38,7 @@
 			}
 			p.sessions.Each(func(_ slots.Ref, s *session) { // the write of its answer finds the connection broken
 				if s.asked {
-					s.conn.Close()
+					s.conn.Close("test")
 				}
 			})
 			first.Failed()
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -103,7 +103,7 @@
 		return
 	}
 	if s.front.crowd[leaving].Len() >= maxLeaving || s.conn.Unsent() > 0 || s.conn.CloseWrite() != nil {
-		s.conn.Close()
+		s.conn.Close(closeLastWord)
 		return
 	}
 	s.ended, s.leaving, s.since = true, true, s.front.loop.Now()
@@ -120,7 +120,7 @@
 	for _, a := range queue {
 		if a.open {
 			a.open = false
-			s.front.desk.Gone(a.ref)
+			s.front.desk.Gone(a.ref, s.conn.Why())
 		}
 	}
 	s.count()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,6 +17,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/metrics"
 )
 
 // Handler is told of one connection. Data is valid during the call only.
@@ -31,7 +32,17 @@
 	loop *Loop
 	gc   gnet.Conn
 	h    Handler
+	id   uint64 // in the log
 	gone bool
+	why  Reason // it is closed by this side, "" for not so
+}
+
+// Why says who ended the connection: this side's reason, or "peer".
+func (c *Conn) Why() string {
+	if c.why == "" {
+		return "peer"
+	}
+	return string(c.why)
 }
 
 // Write sends b, or buffers what the socket does not take. A write that fails closes the connection,
@@ -54,9 +65,15 @@
 	return c.gc.OutboundBuffered()
 }
 
+// Reason says why this side closes a connection, in the form part.cause, as the counters and the log have it.
+type Reason string
+
 // Close closes the connection now; Closed is called before it returns.
-func (c *Conn) Close() {
+func (c *Conn) Close(why Reason) {
 	if !c.gone {
+		c.why = why
+		c.loop.metrics.Add(metrics.Closed, string(why))
+		c.loop.log.Debug("connection closed", "conn", c.id, "why", why)
 		_ = c.gc.EventLoop().Close(c.gc)
 	}
 }
@@ -99,10 +116,12 @@
 	// Ready, if it is set before Run, runs on the loop once it serves and its connection to itself has gone.
 	Ready func()
 
-	clk    clock.Clock
-	log    *slog.Logger
-	accept func() Handler
-	start  func()
+	clk     clock.Clock
+	log     *slog.Logger
+	accept  func() Handler
+	start   func()
+	metrics *metrics.Set
+	conns   uint64 // made so far
 
 	addr string // that it listens on
 	eng  gnet.Engine
@@ -120,9 +139,12 @@
 // New makes a loop. accept makes the handler of each accepted connection; start runs on the loop before
 // anything else.
 func New(clk clock.Clock, log *slog.Logger, accept func() Handler, start func()) *Loop {
-	return &Loop{clk: clk, log: log, accept: accept, start: start}
+	return &Loop{clk: clk, log: log, accept: accept, start: start, metrics: metrics.New()}
 }
 
+// Metrics is the counters of the pooler that runs on this loop.
+func (l *Loop) Metrics() *metrics.Set { return l.metrics }
+
 // Run listens on addr and serves until End.
 func (l *Loop) Run(addr string) error {
 	// SO_REUSEPORT makes gnet accept on the one loop instead of on a second one; without this look an address in use
@@ -290,6 +312,8 @@
 		gc.SetContext(c)
 	}
 	c.gc = gc
+	l.conns++
+	c.id = l.conns
 	c.h.Opened(c)
 	return nil, gnet.None
 }
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,32 @@
+package metrics
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+// TestSet: counters add up by family and key, and a line is logged only when something has changed.
+func TestSet(t *testing.T) {
+	s := New()
+	s.Add(SyscallErrors, "accept4.EMFILE")
+	s.Add(SyscallErrors, "accept4.EMFILE")
+	s.Add(SyscallErrors, "read.EINTR")
+	if got := s.Value(SyscallErrors, "accept4.EMFILE"); got != 2 {
+		t.Errorf("counted %d, want 2", got)
+	}
+	if got := s.Sum(SyscallErrors); got != 3 {
+		t.Errorf("sum %d, want 3", got)
+	}
+	if got := s.Value(Violations, "none"); got != 0 {
+		t.Errorf("an empty counter is %d", got)
+	}
+	var out bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&out, nil))
+	s.Log(log)
+	s.Log(log)
+	if n := strings.Count(out.String(), "msg=counters"); n != 1 || !strings.Contains(out.String(), `accept4.EMFILE\": 2`) {
+		t.Errorf("logged %d lines: %s", n, &out)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -458,12 +458,12 @@
 		return
 	}
 	if e.Class < 0 || e.Class >= len(r.classes) || e.Due <= r.now {
-		r.act(Action{Kind: Refuse, ID: e.ID})
+		r.act(Action{Kind: Refuse, ID: e.ID, Text: "no time left"})
 		return
 	}
 	c := &r.classes[e.Class]
 	if r.groups[e.Group] == nil && len(r.stores) > 0 { // nor does it leave a trace
-		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim)})
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim), Text: "no such group"})
 		return
 	}
 	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
@@ -545,7 +545,7 @@
 		}
 		if r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last {
 			if q.open == 0 {
-				r.finish(q)
+				r.finish(q, "no server can take it in time")
 			}
 			continue
 		}
@@ -573,12 +573,12 @@
 }
 
 // finish gives the final answer: refused where trying again is harmless, failed where it may not be.
-func (r *Router) finish(q *request) {
+func (r *Router) finish(q *request, why string) {
 	ran := q.maybe || q.open > 0
 	if q.class.Effect == Safe || !ran || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
-		r.act(Action{Kind: Refuse, ID: q.id, Wait: min(r.set.MaxRetryAfter, q.class.Aim)})
+		r.act(Action{Kind: Refuse, ID: q.id, Wait: min(r.set.MaxRetryAfter, q.class.Aim), Text: why})
 	} else {
-		r.act(Action{Kind: Fail, ID: q.id})
+		r.act(Action{Kind: Fail, ID: q.id, Text: why})
 	}
 	r.forget(q)
 }
@@ -671,7 +671,7 @@
 	}
 	if e.Result != OK && !q.finished && q.open == 0 {
 		if r.closing(q) || r.spent(q) {
-			r.finish(q)
+			r.finish(q, "no attempt is left after "+e.Result.String())
 		} else if !slices.Contains(q.group.held, q) {
 			q.group.held = append(q.group.held, q)
 		}
@@ -876,7 +876,7 @@
 		for _, a := range slices.Clone(s.open) {
 			q := a.req
 			if !q.finished && r.closing(q) {
-				r.finish(q)
+				r.finish(q, "its time is nearly over")
 			}
 			if !a.lost && a.passed >= lostPassed && r.had(s, a) > r.patience(g) {
 				a.lost = true
