Replace gnet by an event loop that outlasts failing system calls

Cause: gnet ends its loop, and with status 0 the process, when accept fails with anything but EAGAIN, EINTR, ECONNRESET or ECONNABORTED (pkg/netpoll Polling, ErrAcceptSocket); it closes a connection without a word when read, write or epoll_ctl fails, EINTR included; a write to its eventfd that fails stops all timers; none of this can be set. Net dialling off the loop took a second descriptor and a goroutine for each connection. Change: internal/loop drives epoll itself, connects without waiting, and treats each error by the table in errno.go: what passes is tried again after a pause, also without the poller; only an error that names the end of a connection ends it, and nothing but End ends the loop. Out of descriptors, idle connections make room. The Go net package was weighed: a goroutine and two buffers for each connection, and all state under locks.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	reserved   = 64    // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
+	reserved   = 64    // descriptors for discovery, the listener, the poller and the runtime
 	poolMost   = 0.45  // of the others, at most for connections to servers...
 	poolLeast  = 0.2   // ...and what clients leave to them
 	askPart    = 4     // clients that ask and hold 1 descriptor in so many are many
@@ -76,6 +76,7 @@
 		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
 		Memory: memory, RetryMs: clock.Millis(cfg.Settings.MaxRetryAfter)})
+	p.loop.Exhausted = func() bool { return p.front.MakeRoom() || p.pool.CloseOldest() }
 	return p
 }
 
@@ -171,5 +172,5 @@
 	look()
 }
 
-// busy tells whether anybody is owed anything.
-func (p *pooler) busy() bool { return p.core.Open() > 0 || p.front.Owes() }
+// busy tells whether anybody is owed anything, or may be: clients that could not be accepted yet may have asked.
+func (p *pooler) busy() bool { return p.core.Open() > 0 || p.front.Owes() || p.loop.Backlog() }
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -168,6 +168,12 @@
 	return true
 }
 
+// MakeRoom closes the connection of a client that waits for nothing, one to a server that is idle, or that of an idle client,
+// whichever there is first, and tells whether there was one. It is for when the system has no descriptor left.
+func (p *Postgres) MakeRoom() bool {
+	return p.evict(leaving, 0) || p.evict(silent, 0) || p.evict(mute, 0) || p.budget.Free() || p.evict(resting, 0)
+}
+
 // thin closes clients' connections that rest, where those that ask are many: clients may open only so many, and
 // some keep each for a while after a single request.
 func (p *Postgres) thin() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,6 +14,7 @@
 const (
 	Requests       Family = "requests"        // requests by how they ended [served, refused, failed, gone]
 	Attempts       Family = "attempts"        // attempts at servers by result [ok, reset, ...]
+	Connections    Family = "connections"     // connections that were begun [accepted, dialled]
 	Closed         Family = "closed"          // connections by the part that held them and why they ended [front.idle, ...]
 	SyscallErrors  Family = "syscall_errors"  // failed system calls [accept4.EMFILE, ...]
 	States         Family = "states"          // states of the process that were entered [serving, draining, ...]
@@ -21,7 +22,7 @@
 	Violations     Family = "violations"      // broken invariants [by the name of the invariant]
 )
 
-var families = []Family{Requests, Attempts, Closed, SyscallErrors, States, DiscoveryCalls, Violations}
+var families = []Family{Requests, Attempts, Connections, Closed, SyscallErrors, States, DiscoveryCalls, Violations}
 
 // Set is the counters of one pooler. Its methods may be called from any goroutine.
 type Set struct {
