A connection that this machine could not make tells nothing of the server

Change: loop's DialError says whether it is local; the pool then leaves what waits in its queue and tries again after 10 ms.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -98,6 +98,7 @@
 	idle    []*conn    // the one used last at the end
 	waiting []*attempt // without a connection, oldest first; a probe has an attempt too
 	dialing int        // connections on their way up
+	redial  bool       // one is to be tried again after this machine could not make it
 }
 
 // attempt is a request's attempt, or a probe where query is nil.
@@ -307,10 +308,15 @@
 		}
 	})
 	p.loop.Dial(s.addr, p.opt.ConnectTimeoutMs, c, func(err error) {
-		if c.state == dialing {
-			p.log.Debug("connect", "store", s.id, "err", err)
-			c.failed()
+		if c.state != dialing {
+			return
+		}
+		p.log.Debug("connect", "store", s.id, "err", err)
+		if loop.IsLocal(err) {
+			c.shortOfResources()
+			return
 		}
+		c.failed()
 	})
 }
 
@@ -391,6 +397,27 @@
 	}
 }
 
+// redialMs is the pause after a connection that this machine could not make, until the next is tried.
+const redialMs = 10
+
+// shortOfResources takes a connection out that this machine could not make. That tells nothing of the server: what waits goes on
+// waiting, for another try or for a connection that comes free.
+func (c *conn) shortOfResources() {
+	p, s := c.pool, c.store
+	c.state = closed
+	p.loop.Stop(c.timer)
+	p.conns.Drop(c.ref)
+	s.dialing--
+	if s.redial {
+		return
+	}
+	s.redial = true
+	p.loop.At(p.loop.Now()+redialMs, func() {
+		s.redial = false
+		p.refill(s)
+	})
+}
+
 // Opened is loop's.
 func (c *conn) Opened(lc *loop.Conn) {
 	c.c = lc
