Close no client whose bytes wait unread, or whose request is being taken

Cause: a client counted as silent by the clock alone, though its startup message lay unread while reads failed or this side could not write its answer; and a client whose request was just being decided on was still filed as idle, so that making room for the server connection of that very request closed it ('$' at the client, TestTransientSystemCalls/socket/EMFILE/once).

--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -129,6 +129,8 @@
 			s.conn.Close(closeLeft)
 		case s.stuck != 0 && now-s.stuck >= stuckMs:
 			s.conn.Close(closeStuck)
+		case s.use == silent && s.conn.Unsent() > 0: // it waits for this side's answer
+		case (s.use == silent || s.use == halfway) && !s.conn.Quiet(): // what is to come has come, and is only not read yet
 		case s.use == silent && s.in.Pending() == 0 && age >= startupMs:
 			s.conn.Close(closeSilent)
 		case (s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
@@ -189,6 +191,9 @@
 		if p.loop.Now()-s.since < ms {
 			return false
 		}
+		if s.rank() != u { // it is filed anew only after what it is at now
+			continue
+		}
 		if u == leaving || u == halfway || s.conn.Quiet() {
 			s.conn.Close(closeEvicted)
 			return true
