Try a server that is down again where the settings allow no probes

Cause: health down was left by a probe's success alone, and probe() does nothing where settings forbid probes, so two connections that failed for a moment took a server out for good (a write with 9 s of patience never reached it again, TestTransientSystemCalls/connect/*/twice). Change: without probes such a server is on trial after the pause that a probe would keep. Sites with probes are not touched.

--- a/router.go
+++ b/router.go
@@ -845,8 +845,10 @@
 		if s.health != down && r.silent(s) {
 			r.bad(s)
 		}
-		if s.health == down {
-			r.probe(s, probeDown<<min(max(0, s.probeFails-probeSoon), probeMost))
+		if s.health == down && !r.set.MayProbe {
+			r.tryOut(s)
+		} else if s.health == down {
+			r.probe(s, probePause(s))
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
 		} else if seek {
@@ -855,6 +857,21 @@
 	}
 }
 
+// probePause is the time between probes of a store thought down.
+func probePause(s *store) Time { return probeDown << min(max(0, s.probeFails-probeSoon), probeMost) }
+
+// tryOut puts a store that is down on trial after a while, where no probe may ask whether it is well: only requests can tell then.
+func (r *Router) tryOut(s *store) {
+	if r.now-s.badAt < probePause(s) {
+		return
+	}
+	s.probeFails++
+	fails := s.probeFails
+	r.well(s)
+	s.probeFails, s.health = fails, onTrial
+	s.loseOpen()
+}
+
 func (r *Router) onBeat() {
 	if r.now >= r.refreshAt {
 		r.refresh()
