--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Dial(server.Addr().String(), 5000, w, func(err error) { t.Error(err) })
+	l.Post(func() { l.Dial(server.Addr().String(), 5000, w, func(err error) { t.Error(err) }) })
 	far, err := server.Accept()
 	if err != nil {
 		t.Fatal(err)
