Log without ever holding up the loop, and outlast the log's reader

Cause: a log line was written on the loop: a reader that stands still stopped the loop with it, and one that has gone ended the process by SIGPIPE, which Go passes on for descriptors 1 and 2.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -10,10 +10,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"beechgrade/internal/config"
+	"beechgrade/internal/logging"
+)
+
+const (
+	flushFor = 200 * time.Millisecond // how long the end waits for the log's stream
 )
 
 func main() {
@@ -80,6 +86,8 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	// A log line on a stream whose reader has gone would end the process: Go passes on SIGPIPE for descriptors 1 and 2.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -88,7 +96,9 @@
 	if verbose {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("pooler", cfg.Name)
+	lines := logging.NewWriter(os.Stderr)
+	defer lines.Flush(flushFor)
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level})).With("pooler", cfg.Name)
 	// The loop sits in a system call while it waits. With one processor, Go hands that on to timers and
 	// dials only after its monitor has looked, up to 10 ms later; with two, at once.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
