Try a configuration again that cannot be read at the moment

Cause: a reload that met EMFILE, EIO, a file not there or half written was given up for good, so discovery's move went unheard.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	startFor = 5 * time.Second        // how long a configuration that cannot be read is tried at the start
 	flushFor = 200 * time.Millisecond // how long the end waits for the log's stream
 )
 
@@ -88,7 +89,7 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	// A log line on a stream whose reader has gone would end the process: Go passes on SIGPIPE for descriptors 1 and 2.
 	signal.Ignore(syscall.SIGPIPE)
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := loadPatiently(func() (*config.Config, error) { return config.Load(os.Getenv) }, startFor, func(error) {})
 	if err != nil {
 		return err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -63,6 +64,16 @@
 	defaultIdle    = 30000
 )
 
+// errNotWhole says that the file is no JSON: it may be only half written.
+var errNotWhole = errors.New("not a whole JSON object")
+
+// Passing tells whether a configuration that could not be read may be readable soon: a system call has failed, or the file is only
+// half written.
+func Passing(err error) bool {
+	var no syscall.Errno
+	return errors.As(err, &no) || errors.Is(err, errNotWhole)
+}
+
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before it.
 func Load(env func(string) string) (*Config, error) { return load(env, false) }
 
@@ -124,7 +135,7 @@
 	dec := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(b))
 	dec.UseNumber()
 	if err := dec.Decode(&f); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNotWhole, err)
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
 	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
