End with an error where requests are left unanswered or the loop ends unasked

Cause: Run's end counted as success whatever led to it and whoever was still owed an answer, which hid the incident behind status 0. Change: status 0 only after a drain that has answered all; the log says how many requests were left. No more descriptors are planned with than the system's limit at the start.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"log/slog"
+	"math"
 	"os"
 
+	"golang.org/x/sys/unix"
+
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
@@ -56,13 +60,16 @@
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
 	state state
+
+	descriptors int // that the system lets the process have, as of its start
+	unanswered  int // requests at the end of the process
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
-	p := &pooler{cfg: cfg, log: log}
+	p := &pooler{cfg: cfg, log: log, descriptors: descriptorLimit()}
 	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
 	p.core = core.New(p.loop, log, cfg)
-	sockets := func() int { return p.cfg.Limits.Sockets - reserved }
+	sockets := func() int { return min(p.cfg.Limits.Sockets, p.descriptors) - reserved }
 	part := func(x float64) int { return int(x * float64(sockets())) }
 	memory := func() int { return p.cfg.Limits.MemoryMB << 20 }
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
@@ -80,6 +87,15 @@
 	return p
 }
 
+// descriptorLimit is how many descriptors the system lets the process have, which may be fewer than the configuration says.
+func descriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // enter is the one place where the state changes. It only goes forward.
 func (p *pooler) enter(next state) {
 	if next <= p.state {
@@ -116,17 +132,17 @@
 		<-stop
 		p.loop.Post(p.drain)
 	}()
-	go func() {
-		for range reload {
-			next, err := p.load()
-			if err != nil {
-				p.log.Error("configuration not taken; the old one stays", "err", err)
-				continue
-			}
-			p.loop.Post(func() { p.apply(next) })
-		}
-	}()
-	return p.loop.Run(p.cfg.Listen)
+	go p.reload(reload)
+	if err := p.loop.Run(p.cfg.Listen); err != nil {
+		return err
+	}
+	if p.state != ended {
+		return fmt.Errorf("the event loop ended while %v", p.state)
+	}
+	if p.unanswered > 0 {
+		return fmt.Errorf("ended with %d requests unanswered", p.unanswered)
+	}
+	return nil
 }
 
 // apply takes a new configuration, as far as that goes while serving.
@@ -164,7 +180,8 @@
 			return
 		}
 		p.enter(ended)
-		p.log.Info("drained", "ms", now-began)
+		p.unanswered = p.front.Waiting()
+		p.log.Info("drained", "ms", now-began, "unanswered", p.unanswered)
 		p.loop.Metrics().Log(p.log)
 		p.front.End() // the loop takes a moment to end
 		p.loop.End()
--- a/cmd/beechgrade/process_test.go
+++ b/cmd/beechgrade/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 type process struct {
 	t      *testing.T
 	cmd    *exec.Cmd
+	config string // path of its configuration
 	addr   string
 	log    *logBuffer
 	exited chan struct{}
@@ -59,15 +61,20 @@
 var servingAt = regexp.MustCompile(`msg=serving .*listen=(\S+)`)
 
 // startProcess runs the program before one server and waits until it serves.
-func startProcess(t *testing.T, server string) *process {
+func startProcess(t *testing.T, server string, change ...func(*process)) *process {
 	t.Helper()
 	path, err := program()
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &process{t: t, cmd: exec.Command(path, "serve"), log: &logBuffer{}, exited: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+writeConfig(t, server))
+	p.config = filepath.Join(t.TempDir(), "config.json")
+	p.configure(server, listen(t).Addr().String()) // a discovery that never answers
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.config)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	for _, f := range change {
+		f(p)
+	}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -89,8 +96,15 @@
 	return nil
 }
 
-// writeConfig writes a configuration with one server, the primary of its group, and two classes, read and write.
-func writeConfig(t *testing.T, server string) string {
+// configure writes a configuration with one server, the primary of its group, and two classes, read and write.
+func (p *process) configure(server, discovery string) {
+	p.t.Helper()
+	if err := os.WriteFile(p.config, configuration(p.t, server, discovery), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func configuration(t *testing.T, server, discovery string) []byte {
 	t.Helper()
 	b, err := os.ReadFile("../../example/config.json")
 	if err != nil {
@@ -100,7 +114,7 @@
 	if err := json.Unmarshal(b, &tree); err != nil {
 		t.Fatal(err)
 	}
-	tree["listen"], tree["discovery"] = "127.0.0.1:0", listen(t).Addr().String() // a discovery that never answers
+	tree["listen"], tree["discovery"] = "127.0.0.1:0", discovery
 	tree["known"] = map[string]any{"generation": 4, "reset": true, "instances": []any{map[string]any{"instanceId": "s-1",
 		"hostPort": server, "lifecycle": "up", "weight": 1, "role": "primary", "zone": "room", "machineType": "small"}}}
 	settings := tree["settings"].(map[string]any)
@@ -108,17 +122,36 @@
 		"shows_role": "trailing", "tells_position": true}
 	settings["allowed"].(map[string]any)["probes"] = false
 	class := func(name, effect string) map[string]any {
-		return map[string]any{"name": name, "effect": effect, "slo_ns": 2e9, "deadline_ns": 20e9, "points": 1}
+		return map[string]any{"name": name, "effect": effect, "slo_ns": 2e9, "deadline_ns": 3e9, "points": 1}
 	}
 	settings["request_classes"] = []any{class("read", "retryable"), class("write", "fragile")}
 	if b, err = json.Marshal(tree); err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		t.Fatal(err)
+	return b
+}
+
+// signal sends signals, in order.
+func (p *process) signal(signals ...syscall.Signal) {
+	p.t.Helper()
+	for _, s := range signals {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+// ends waits for the process's end and wants status 0.
+func (p *process) ends() {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+		if p.err != nil {
+			p.t.Errorf("it ended with %v; its log:\n%s", p.err, p.log)
+		}
+	case <-time.After(patience):
+		p.t.Errorf("it does not end; its log:\n%s", p.log)
 	}
-	return path
 }
 
 // alive fails the test if the process has ended.
