Send nothing for a client that has gone, nor with a time that is not true any more

Cause: after the process was held up, an attempt could begin for a client whose end lay unread (TestHeldUpWhileAClientGoes: the server was asked 200 ms after the close); a query that a server did not take whole kept its old d; what was read after reads or accepts had failed counted from then; a request whose text, or the rest of which, lay unread or waited for an answer could be cut off to save memory or descriptors. Change: where the poller was asked last over 50 ms ago the client's socket is asked right before the send; a query not taken whole within 100 ms is never sent whole and has not run; time counts from when reading began to fail; while waiting requests hold half of what clients may, new ones are refused, and only what a client sends ahead or does not read has it cut off.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,6 +41,7 @@
 type Events interface {
 	AttemptEnded(t Tag, o Outcome)
 	ProbeEnded(store string, o Outcome)
+	StillWanted(t Tag) bool // asked right before an attempt is sent by a loop that was held up
 }
 
 // Options are the pool's limits.
@@ -61,6 +62,7 @@
 	stallMs    = 150     // within an answer that has begun, after which its rest will not come...
 	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
 	brokeMs    = 50      // a connection that breaks so soon after a request did so because of it
+	wholeMs    = 100     // until a query is written whole: what it says of the time left holds for 150 ms
 	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
 )
 
@@ -75,6 +77,7 @@
 	closeGivenUp   loop.Reason = "backend.given_up"  // its attempt was given up
 	closeIdle      loop.Reason = "backend.idle"      // it has been idle for as long as the settings allow
 	closeSpoilt    loop.Reason = "backend.spoilt"    // the server broke the protocol
+	closeUnsent    loop.Reason = "backend.unsent"    // it does not take a query whole
 )
 
 // Pool holds the connections to all servers.
@@ -279,7 +282,7 @@
 		if a.once && p.loop.Now()-c.since >= p.wear.limit { // as far as can be told, it may be of no use
 			break
 		}
-		c.carry(a)
+		p.send(c, a)
 		return
 	}
 	s.waiting = append(s.waiting, a)
@@ -288,6 +291,20 @@
 	}
 }
 
+// send has a free connection carry an attempt, unless nobody wants it any more.
+func (p *Pool) send(c *conn, a *attempt) {
+	if p.unwanted(a) {
+		p.drop(a, beechgrade.Skipped)
+		return
+	}
+	c.carry(a)
+}
+
+// unwanted tells whether the client of an attempt has gone, which the loop may not have been told yet.
+func (p *Pool) unwanted(a *attempt) bool {
+	return a.query != nil && p.loop.Stale() && !p.events.StillWanted(a.tag)
+}
+
 // late tells whether an attempt may not be sent any more.
 func (p *Pool) late(a *attempt) bool { return p.loop.Now() >= min(a.by, a.until) }
 
@@ -450,6 +467,10 @@
 			p.drop(a, beechgrade.Skipped)
 			continue
 		}
+		if p.unwanted(a) {
+			p.drop(a, beechgrade.Skipped)
+			continue
+		}
 		p.unqueue(a)
 		c.carry(a)
 		return
@@ -479,9 +500,26 @@
 	a.written = c.written
 	c.rested = c.written - c.since
 	c.sent = false // a write that fails has closed the connection when it returns
-	if c.c.Write(p.scratch) == nil {
-		c.sent = true
+	if c.c.Write(p.scratch) != nil {
+		return
+	}
+	c.sent = true
+	if c.c.Unsent() > 0 && c.attempt == a {
+		c.timer = p.loop.At(p.loop.Now()+wholeMs, func() { c.tooSlow(a) })
+	}
+}
+
+// tooSlow ends an attempt whose query the socket has not taken whole: the time that it tells the server is not true any more, and
+// without its last byte it does not run.
+func (c *conn) tooSlow(a *attempt) {
+	p := c.pool
+	if c.attempt != a || c.c.Unsent() == 0 {
+		return
 	}
+	p.log.Info("a query is not taken whole", "store", c.store.id, "unsent", c.c.Unsent())
+	c.attempt, a.conn = nil, nil
+	c.c.Close(closeUnsent)
+	p.end(a, Outcome{Result: beechgrade.Skipped})
 }
 
 func (c *conn) unidle() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,6 +188,19 @@
 		Final: final, Told: told(o)})
 }
 
+// StillWanted is backend.Events'. A request whose client has gone is over at once.
+func (c *Core) StillWanted(t backend.Tag) bool {
+	q, ok := c.requests.Get(t.Request)
+	if !ok || q.over {
+		return false
+	}
+	if q.client.Here() {
+		return true
+	}
+	c.Gone(t.Request, "peer, seen at the send")
+	return false
+}
+
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -34,6 +34,7 @@
 
 func (a answers) Served(b []byte) { a <- "served" }
 func (a answers) Refused(float64) { a <- "refused" }
+func (a answers) Here() bool      { return true }
 func (a answers) Failed()         { a <- "failed" }
 func (a answers) AppendQuery(dst []byte, _ int) []byte {
 	return pgwire.AppendQuery(dst, "query")
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -107,6 +107,17 @@
 	s.held = n
 }
 
+// aside is what the client holds beside its open requests: what it sends ahead and does not read.
+func (s *session) aside() int {
+	n := s.held
+	for _, a := range s.queue {
+		if a.open {
+			n -= a.size
+		}
+	}
+	return n
+}
+
 // Start begins the sweeps; it is for the loop.
 func (p *Postgres) Start() { p.loop.At(p.loop.Now()+sweepMs, p.sweep) }
 
@@ -194,7 +205,7 @@
 		if s.rank() != u { // it is filed anew only after what it is at now
 			continue
 		}
-		if u == leaving || u == halfway || s.conn.Quiet() {
+		if u == leaving || s.conn.Quiet() {
 			s.conn.Close(closeEvicted)
 			return true
 		}
@@ -202,17 +213,20 @@
 	return false
 }
 
-// bound cuts off whoever holds most while all hold too much together.
+// full tells whether a request of so many bytes is too much while requests that wait hold half of what clients may.
+func (p *Postgres) full(size int) bool { return p.held+size > p.budget.Memory()/heldPart/2 }
+
+// bound cuts off whoever holds most, beside its open requests, while all hold too much together.
 func (p *Postgres) bound() {
 	for p.held > p.budget.Memory()/heldPart {
 		var most *session
 		p.sessions.Each(func(_ slots.Ref, s *session) {
 			s.count() // by now it may have read its answers
-			if most == nil || s.held > most.held {
+			if most == nil || s.aside() > most.aside() {
 				most = s
 			}
 		})
-		if most == nil || most.held == 0 || p.held <= p.budget.Memory()/heldPart {
+		if most == nil || most.aside() == 0 || p.held <= p.budget.Memory()/heldPart {
 			return
 		}
 		p.log.Warn("a client holds too much", "bytes", most.held)
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -70,6 +70,19 @@
 	return owes
 }
 
+// Waiting is the number of requests that have no answer yet.
+func (p *Postgres) Waiting() int {
+	n := 0
+	p.sessions.Each(func(_ slots.Ref, s *session) {
+		for _, a := range s.queue {
+			if a.open {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 // End closes all that there is and takes nothing any more: a request that is read while the program ends would be sent
 // on, and nobody would be there for its answer.
 func (p *Postgres) End() {
@@ -142,11 +155,12 @@
 		return
 	}
 	now := s.front.loop.Now()
+	came := min(now, s.conn.Since())
 	if s.started && len(s.queue) == 0 && s.in.Pending() == 0 {
 		s.since = now
 	}
 	s.in.Feed(b)
-	s.arrived.add(len(b), now)
+	s.arrived.add(len(b), came)
 	s.proceed()
 	if !s.closed && s.in.Pending() > maxAhead {
 		s.fatal(codeProtocol, "too much sent ahead of the answers")
@@ -263,6 +277,10 @@
 		q.After = clock.FromUnix(st.After)
 	}
 	a := s.begin(len(sql))
+	if s.front.full(len(sql)) {
+		a.Refused(min(restMs, s.front.budget.RetryMs))
+		return
+	}
 	a.open = true
 	ref, err := s.front.desk.Ask(q, a)
 	switch {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -42,13 +42,14 @@
 	state connState
 	why   Reason // it is closed by this side, "" for not so
 
-	out        []byte // written, and not taken by the socket yet
-	sent       int    // of out, taken since
-	registered bool   // with the poller...
-	interest   uint32 // ...for these events
-	readStops  bool   // a read has failed: no more until the next try
-	writeStops bool   // a write has failed
-	suspect    error  // that a read failed with since the last one that brought something
+	out        []byte  // written, and not taken by the socket yet
+	sent       int     // of out, taken since
+	registered bool    // with the poller...
+	interest   uint32  // ...for these events
+	readStops  bool    // a read has failed: no more until the next try
+	writeStops bool    // a write has failed
+	suspect    error   // that a read failed with since the last one that brought something
+	lateSince  float64 // what is read next may have come then already, 0 for only now
 	tries      backoff
 	again      *deadline.Timer // the next try
 
@@ -142,6 +143,9 @@
 			c.suspect = nil
 			c.progress()
 			c.h.Data(c.loop.buffer[:n])
+			if n < len(c.loop.buffer) {
+				c.lateSince = 0
+			}
 			return
 		case err == nil && c.suspect != nil: // it was the connection's last word
 			c.finish(c.suspect)
@@ -152,6 +156,7 @@
 		}
 		switch v := judge(err); {
 		case v == wait:
+			c.lateSince = 0
 			c.progress()
 			return
 		case v == broken:
@@ -163,6 +168,9 @@
 			if v == pause {
 				c.suspect = err
 			}
+			if c.lateSince == 0 {
+				c.lateSince = c.loop.Now()
+			}
 			c.readStops = true
 			c.stall("read", err)
 			return
@@ -257,6 +265,32 @@
 	c.registered, c.interest = true, events
 }
 
+// Since is the earliest time at which what Data tells may have come: before now where reading or accepting had failed meanwhile.
+func (c *Conn) Since() float64 {
+	if c.lateSince == 0 {
+		return c.loop.Now()
+	}
+	return c.lateSince
+}
+
+// Ended tells whether the other side has closed the connection, or it has broken, though the loop may not have come to that yet.
+func (c *Conn) Ended() bool {
+	if c.state != open {
+		return true
+	}
+	var b [1]byte
+	n, _, err := c.loop.kernel.recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil {
+		return judge(err) == broken
+	}
+	if n == 0 {
+		return true
+	}
+	asked := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}} // an end behind what is unread
+	n, err = c.loop.kernel.poll(asked, 0)
+	return err == nil && n > 0 && asked[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Unsent is the number of bytes written that the socket has not taken yet.
 func (c *Conn) Unsent() int {
 	if c.state == gone {
--- a/internal/loop/kernel.go
+++ b/internal/loop/kernel.go
@@ -21,6 +21,7 @@
 	write       func(fd int, b []byte) (int, error)
 	recvfrom    func(fd int, b []byte, flags int) (int, unix.Sockaddr, error)
 	shutdown    func(fd, how int) error
+	poll        func(fds []unix.PollFd, ms int) (int, error)
 	closeFD     func(fd int) error
 	epollCreate func(flags int) (int, error)
 	epollCtl    func(epfd, op, fd int, event *unix.EpollEvent) error
@@ -45,6 +46,7 @@
 		write:       unix.Write,
 		recvfrom:    unix.Recvfrom,
 		shutdown:    unix.Shutdown,
+		poll:        unix.Poll,
 		closeFD:     unix.Close,
 		epollCreate: unix.EpollCreate1,
 		epollCtl:    unix.EpollCtl,
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -93,34 +93,34 @@
 	return ""
 }
 
-// ready accepts one connection; the poller tells again of those that are left.
+// ready accepts one connection; the poller tells again of those that are left. After a failure it goes on until none is left, so
+// that every one is known to have waited since then at the earliest.
 func (n *listener) ready(l *Loop) {
-	if n.paused {
-		return
-	}
-	fd, _, err := l.kernel.accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-	if err == nil {
-		n.tries.reset()
-		l.accepted(fd)
-		return
-	}
-	if errors.Is(err, unix.EAGAIN) {
-		return
-	}
-	l.failed("accept4", err)
-	if outOfDescriptors(err) && l.Exhausted != nil && l.Exhausted() {
-		return // the poller tells again
-	}
-	first := n.tries.sinceMs == 0
-	pauseMs := n.tries.next(l.Now())
-	if first && ofTheNewConnection(err) {
-		return
+	for repeats := 0; !n.paused; {
+		fd, _, err := l.kernel.accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == nil {
+			l.accepted(fd, n.tries.sinceMs)
+			if n.tries.sinceMs == 0 {
+				return
+			}
+			continue
+		}
+		if errors.Is(err, unix.EAGAIN) {
+			n.tries.reset()
+			return
+		}
+		l.failed("accept4", err)
+		pauseMs := n.tries.next(l.Now())
+		roomMade := outOfDescriptors(err) && l.Exhausted != nil && l.Exhausted()
+		if repeats++; repeats < fewRepeats && (roomMade || ofTheNewConnection(err)) {
+			continue
+		}
+		n.pause(l, pauseMs)
 	}
-	n.pause(l, pauseMs)
 }
 
 // ofTheNewConnection tells whether accept failed because of the one connection that it took from the queue, as Linux
-// passes on the errors that are pending on that. An error that comes again is not taken for such.
+// passes on the errors that are pending on that.
 func ofTheNewConnection(err error) bool {
 	for _, no := range []unix.Errno{unix.EINTR, unix.ECONNABORTED, unix.ECONNRESET, unix.EPROTO, unix.ENETDOWN, unix.ENOPROTOOPT,
 		unix.EHOSTDOWN, unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH} {
@@ -149,27 +149,25 @@
 		return
 	}
 	n.paused = false
-	if n.hushed {
-		if err := l.poller.modify(n.fd, listenRef, unix.EPOLLIN); err != nil {
-			l.failed("epoll_ctl", err)
-			n.ready(l)
-			if !n.paused {
-				n.pause(l, firstPauseMs)
-			}
-			return
-		}
-		n.hushed = false
-	}
 	n.ready(l)
+	if n.paused || !n.hushed {
+		return
+	}
+	if err := l.poller.modify(n.fd, listenRef, unix.EPOLLIN); err != nil {
+		l.failed("epoll_ctl", err)
+		n.pause(l, firstPauseMs)
+		return
+	}
+	n.hushed = false
 }
 
 func (n *listener) close(l *Loop) { _ = l.kernel.closeFD(n.fd) }
 
-// accepted takes a connection over.
-func (l *Loop) accepted(fd int) {
+// accepted takes a connection over, which may have come at the given time, 0 for only now.
+func (l *Loop) accepted(fd int, since float64) {
 	l.metrics.Add(metrics.Connections, "accepted")
 	c := l.newConn(fd, l.accept())
-	c.state = open
+	c.state, c.lateSince = open, since
 	c.watch()
 	c.h.Opened(c)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -59,6 +59,9 @@
 	said     map[string]float64 // when a kind of failure was logged last
 	ending   bool
 
+	told       float64 // when the poller told all that had happened by then...
+	toldBefore float64 // ...and the time before that
+
 	mu     sync.Mutex
 	posted []func()
 	awake  bool // it has been woken for what is posted, or will look by itself
@@ -81,6 +84,8 @@
 		return err
 	}
 	defer l.shut()
+	l.told = l.Now()
+	l.toldBefore = l.told
 	l.start()
 	if l.Ready != nil {
 		l.Ready()
@@ -93,6 +98,9 @@
 			continue
 		}
 		l.polling.reset()
+		if len(events) < eventsAtOnce {
+			l.toldBefore, l.told = l.told, l.Now()
+		}
 		for i := range events {
 			l.happened(&events[i])
 			l.turn()
@@ -148,6 +156,7 @@
 		return
 	}
 	l.failed("epoll_wait", err)
+	l.toldBefore, l.told = l.told, l.Now()
 	time.Sleep(clock.Span(min(pauseMs, unpolledMs)))
 	l.listener.ready(l)
 	l.conns.Each(func(_ slots.Ref, c *Conn) {
@@ -241,6 +250,13 @@
 // Backlog tells whether clients may wait to be accepted because that has failed.
 func (l *Loop) Backlog() bool { return l.listener.paused }
 
+// staleMs is how long ago the poller may have been asked last: less than 100 ms, after which no attempt may begin for a client
+// that has gone.
+const staleMs = 50
+
+// Stale tells whether the loop was held up, or idle, for so long that a client may have gone without it being told.
+func (l *Loop) Stale() bool { return l.Now()-l.toldBefore > staleMs }
+
 // Now is the time in milliseconds.
 func (l *Loop) Now() float64 { return l.clk.Now() }
 
