Guard sending, repeating, answering, closing and ending by counted invariants

Change: internal/invariant has one Guard that each step asks right before it is taken: an attempt's write (over, past its time, two out, may run twice, told too long), a final answer, the close of a client's connection from this side (one method, session.close), the taking of a request, the end. What breaks a rule is not done where that is possible, and is counted as violations.RULE and logged as 'invariant violated'.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -79,7 +79,7 @@
 	spare := func() int {
 		return sockets() - p.front.Sessions() - max(part(poolLeast), p.pool.Conns())
 	}
-	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
+	p.front = front.NewPostgres(p.loop, log, p.core, p.core.Guard(), front.Budget{Spare: spare,
 		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
 		Memory: memory, RetryMs: clock.Millis(cfg.Settings.MaxRetryAfter)})
@@ -181,6 +181,7 @@
 		}
 		p.enter(ended)
 		p.unanswered = p.front.Waiting()
+		p.core.Guard().End(p.unanswered)
 		p.log.Info("drained", "ms", now-began, "unanswered", p.unanswered)
 		p.loop.Metrics().Log(p.log)
 		p.front.End() // the loop takes a moment to end
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,7 +41,7 @@
 type Events interface {
 	AttemptEnded(t Tag, o Outcome)
 	ProbeEnded(store string, o Outcome)
-	StillWanted(t Tag) bool // asked right before an attempt is sent by a loop that was held up
+	MaySend(t Tag, tellMs float64) bool // asked right before an attempt is written, with the time that the server is told
 }
 
 // Options are the pool's limits.
@@ -291,18 +291,15 @@
 	}
 }
 
-// send has a free connection carry an attempt, unless nobody wants it any more.
-func (p *Pool) send(c *conn, a *attempt) {
-	if p.unwanted(a) {
+// send has a free connection carry an attempt, unless that may not be sent any more, and tells whether it does.
+func (p *Pool) send(c *conn, a *attempt) bool {
+	tellMs := max(1, math.Floor(a.until-p.loop.Now()))
+	if a.query != nil && !p.events.MaySend(a.tag, tellMs) {
 		p.drop(a, beechgrade.Skipped)
-		return
+		return false
 	}
-	c.carry(a)
-}
-
-// unwanted tells whether the client of an attempt has gone, which the loop may not have been told yet.
-func (p *Pool) unwanted(a *attempt) bool {
-	return a.query != nil && p.loop.Stale() && !p.events.StillWanted(a.tag)
+	c.carry(a, int(tellMs))
+	return true
 }
 
 // late tells whether an attempt may not be sent any more.
@@ -467,13 +464,10 @@
 			p.drop(a, beechgrade.Skipped)
 			continue
 		}
-		if p.unwanted(a) {
-			p.drop(a, beechgrade.Skipped)
-			continue
-		}
 		p.unqueue(a)
-		c.carry(a)
-		return
+		if p.send(c, a) {
+			return
+		}
 	}
 	p.idleSeq++
 	c.idleNo = p.idleSeq
@@ -482,8 +476,8 @@
 	c.timer = p.loop.At(p.loop.Now()+p.opt.IdleMs, func() { c.c.Close(closeIdle) })
 }
 
-// carry writes an attempt's query.
-func (c *conn) carry(a *attempt) {
+// carry writes an attempt's query, which tells the server so much time.
+func (c *conn) carry(a *attempt, tellMs int) {
 	p := c.pool
 	c.unidle()
 	p.loop.Stop(c.timer)
@@ -493,8 +487,7 @@
 	if a.query == nil {
 		p.scratch = pgwire.AppendQuery(p.scratch[:0], "SHOW load")
 	} else {
-		left := max(1, math.Floor(a.until-p.loop.Now()))
-		p.scratch = a.query.AppendQuery(p.scratch[:0], int(left))
+		p.scratch = a.query.AppendQuery(p.scratch[:0], tellMs)
 	}
 	c.written = p.loop.Now()
 	a.written = c.written
--- a/internal/backend/held_up_test.go
+++ b/internal/backend/held_up_test.go
@@ -7,23 +7,25 @@
 
 	"beechgrade"
 	"beechgrade/internal/pgwire"
-	"beechgrade/internal/slots"
 )
 
-// deserted is told of ends, and no client waits for any of it.
-type deserted struct{ told }
+// forbidding is told of ends, and lets an attempt be sent or not.
+type forbidding struct {
+	told
+	may bool
+}
 
-func (deserted) StillWanted(Tag) bool { return false }
+func (f forbidding) MaySend(Tag, float64) bool { return f.may }
 
-// TestNobodyWaitsAnyMore: the process is held up while an attempt waits for its connection, and its client goes meanwhile. The loop
-// comes to the connection first, asks whether the attempt is still wanted, and does not send it.
-func TestNobodyWaitsAnyMore(t *testing.T) {
+// TestAsksBeforeItSends: an attempt waits for its connection. Right before it is written the pool asks whether it still may be, as its
+// client may have gone meanwhile, and does not write it otherwise.
+func TestAsksBeforeItSends(t *testing.T) {
 	for name, c := range map[string]struct {
-		heldUpMs float64
-		want     beechgrade.Result
-	}{"held up": {150, beechgrade.Skipped}, "in time": {0, beechgrade.Failed}} {
+		may  bool
+		want beechgrade.Result
+	}{"not any more": {false, beechgrade.Skipped}, "still": {true, beechgrade.Failed}} {
 		t.Run(name, func(t *testing.T) {
-			events, server := deserted{make(told, 9)}, listen(t)
+			events, server := forbidding{make(told, 9), c.may}, listen(t)
 			r := newRig(t, events, options())
 			r.events = events.told
 			r.do(func() {
@@ -31,14 +33,7 @@
 				r.pool.Start("s", events, r.clk.Ms+9000, math.Inf(1), true, Tag{})
 			})
 			far := accept(t, server)
-			r.do(func() {
-				say(t, far, pgwire.AppendWelcome(nil))
-				r.pool.conns.Each(func(_ slots.Ref, c *conn) {
-					for c.c != nil && c.c.Quiet() { // until the welcome is there to be read
-					}
-				})
-				r.clk.Ms += c.heldUpMs
-			})
+			say(t, far, pgwire.AppendWelcome(nil))
 			if c.want == beechgrade.Failed { // it was sent: what comes back is no answer
 				r.until(func() bool { return r.pool.busyConn() != nil })
 				say(t, far, []byte("noise"))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/metrics"
 	"beechgrade/internal/slots"
@@ -24,6 +25,7 @@
 	ErrClass = errors.New("no such class")
 	ErrOpen  = errors.New("a request of this id is open")
 	ErrWrite = errors.New("a write in a class of reads")
+	ErrEnded = errors.New("the service has ended")
 )
 
 // Servers carries out attempts and probes.
@@ -64,6 +66,7 @@
 	running  bool
 	actions  []beechgrade.Action
 	traces   tracer
+	guard    *invariant.Guard
 }
 
 // event is one that the router is yet to be told, with the time at which it happened.
@@ -83,6 +86,9 @@
 	open   int
 	over   bool
 
+	answered bool
+	ranAt    float64 // the first attempt that may have run was written then, 0 for none
+
 	// told in the log where it ends badly
 	class, group int
 	arrived      float64
@@ -96,6 +102,7 @@
 	ref    slots.Ref
 	began  float64
 	waited float64 // for a connection
+	sent   float64 // 0 until it is about to be written
 	ended  float64 // 0 while it is out
 	result beechgrade.Result
 }
@@ -103,7 +110,7 @@
 // New makes the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
-		classes: map[string]int{}, ids: map[string]bool{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+		guard: invariant.New(log, l.Metrics()), classes: map[string]int{}, ids: map[string]bool{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	for i, n := range cfg.Classes {
 		c.classes[n] = i
 	}
@@ -123,6 +130,9 @@
 // Open is the number of requests that are owed an answer or have attempts out.
 func (c *Core) Open() int { return c.requests.Len() }
 
+// Guard checks what this pooler does.
+func (c *Core) Guard() *invariant.Guard { return c.guard }
+
 // EndAt has the requests that come from now on answered by then.
 func (c *Core) EndAt(ms float64) { c.end = ms }
 
@@ -138,6 +148,9 @@
 	if c.ids[q.ID] {
 		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
 	}
+	if !c.guard.Take(q.ID) {
+		return slots.Ref{}, ErrEnded
+	}
 	c.ids[q.ID] = true
 	if c.end > 0 {
 		q.Due = min(q.Due, c.end)
@@ -177,8 +190,11 @@
 	y := &q.tries[t.No]
 	y.ended, y.waited, y.result = c.loop.Now(), o.WaitedMs, o.Result
 	c.loop.Metrics().Add(metrics.Attempts, o.Result.String())
-	if o.Result == beechgrade.OK && !q.over {
-		q.over = true
+	if y.sent > 0 && mayHaveRun(o.Result) && (q.ranAt == 0 || y.sent < q.ranAt) {
+		q.ranAt = y.sent
+	}
+	if o.Result == beechgrade.OK && !q.over && c.guard.Answer(q.id, q.answered) {
+		q.over, q.answered = true, true
 		q.client.Served(o.Answer)
 		c.trace(q, "served")
 	}
@@ -188,16 +204,42 @@
 		Final: final, Told: told(o)})
 }
 
-// StillWanted is backend.Events'. A request whose client has gone is over at once.
-func (c *Core) StillWanted(t backend.Tag) bool {
+// MaySend is backend.Events'. A request whose client is found to have gone is over at once.
+func (c *Core) MaySend(t backend.Tag, tellMs float64) bool {
 	q, ok := c.requests.Get(t.Request)
-	if !ok || q.over {
+	if !ok {
+		return false
+	}
+	if !q.over && c.loop.Stale() && !q.client.Here() {
+		c.Gone(t.Request, "peer, seen at the send")
+		return false
+	}
+	class, now := &c.cfg.Settings.Classes[q.class], c.loop.Now()
+	if !c.guard.Send(invariant.Send{ID: q.id, Effect: class.Effect, Over: q.over, Out: q.out(), MayDuplicate: c.cfg.Settings.MayDuplicate,
+		RanAt: q.ranAt, WindowMs: clock.Millis(class.KeyWindow), Now: now, Due: q.due, TellMs: tellMs}) {
 		return false
 	}
-	if q.client.Here() {
+	q.tries[t.No].sent = now
+	return true
+}
+
+// out is the number of attempts that were written and have not ended.
+func (q *request) out() int {
+	n := 0
+	for i := range q.tries {
+		if y := &q.tries[i]; y.sent > 0 && y.ended == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// mayHaveRun tells whether an attempt that was written and ended so may have had an effect.
+func mayHaveRun(r beechgrade.Result) bool {
+	switch r {
+	case beechgrade.OK, beechgrade.Failed, beechgrade.TimedOut, beechgrade.Reset, beechgrade.Cancelled:
 		return true
 	}
-	c.Gone(t.Request, "peer, seen at the send")
 	return false
 }
 
@@ -289,14 +331,12 @@
 			c.servers.Cancel(q.tries[a.Attempt].ref)
 		}
 	case beechgrade.Refuse:
-		if q := c.conclude(a.ID); q != nil {
-			q.why = a.Text
+		if q := c.conclude(a); q != nil {
 			c.trace(q, "refused")
 			q.client.Refused(clock.Millis(a.Wait))
 		}
 	case beechgrade.Fail:
-		if q := c.conclude(a.ID); q != nil {
-			q.why = a.Text
+		if q := c.conclude(a); q != nil {
 			c.trace(q, "failed")
 			q.client.Failed()
 		}
@@ -314,14 +354,14 @@
 	}
 }
 
-// conclude marks a request over and returns it, or nil if it was over before.
-func (c *Core) conclude(id beechgrade.RequestID) *request {
-	ref := refOf(id)
+// conclude marks a request over, by a final answer of the router's, and returns it, or nil if it was over before.
+func (c *Core) conclude(a *beechgrade.Action) *request {
+	ref := refOf(a.ID)
 	q, ok := c.requests.Get(ref)
-	if !ok || q.over {
+	if !ok || q.over || !c.guard.Answer(q.id, q.answered) {
 		return nil
 	}
-	q.over = true
+	q.over, q.answered, q.why = true, true, a.Text
 	c.release(ref, q)
 	return q
 }
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -137,15 +137,15 @@
 		age := now - s.since
 		switch {
 		case s.leaving && age >= lingerMs:
-			s.conn.Close(closeLeft)
+			s.close(closeLeft)
 		case s.stuck != 0 && now-s.stuck >= stuckMs:
-			s.conn.Close(closeStuck)
+			s.close(closeStuck)
 		case s.use == silent && s.conn.Unsent() > 0: // it waits for this side's answer
 		case (s.use == silent || s.use == halfway) && !s.conn.Quiet(): // what is to come has come, and is only not read yet
 		case s.use == silent && s.in.Pending() == 0 && age >= startupMs:
-			s.conn.Close(closeSilent)
+			s.close(closeSilent)
 		case (s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
-			s.conn.Close(closeIdle)
+			s.close(closeIdle)
 		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
 		case s.use == halfway && s.stuck == 0 && age >= messageMs:
@@ -206,7 +206,7 @@
 			continue
 		}
 		if u == leaving || s.conn.Quiet() {
-			s.conn.Close(closeEvicted)
+			s.close(closeEvicted)
 			return true
 		}
 	}
@@ -230,6 +230,6 @@
 			return
 		}
 		p.log.Warn("a client holds too much", "bytes", most.held)
-		most.conn.Close(closeMemory)
+		most.close(closeMemory)
 	}
 }
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -8,6 +8,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
@@ -37,6 +38,7 @@
 	log      *slog.Logger
 	desk     Desk
 	budget   Budget
+	guard    *invariant.Guard
 	sessions slots.Table[*session]
 	crowd    [uses]list.List // of sessions, by use; those of longest standing first
 	draining bool
@@ -45,9 +47,9 @@
 	turned   int  // clients turned away since the last sweep
 }
 
-// NewPostgres makes a front.
-func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, budget Budget) *Postgres {
-	return &Postgres{loop: l, log: log, desk: desk, budget: budget}
+// NewPostgres makes a front whose steps the guard checks.
+func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, guard *invariant.Guard, budget Budget) *Postgres {
+	return &Postgres{loop: l, log: log, desk: desk, guard: guard, budget: budget}
 }
 
 // Accept makes the handler of a new connection.
@@ -73,13 +75,7 @@
 // Waiting is the number of requests that have no answer yet.
 func (p *Postgres) Waiting() int {
 	n := 0
-	p.sessions.Each(func(_ slots.Ref, s *session) {
-		for _, a := range s.queue {
-			if a.open {
-				n++
-			}
-		}
-	})
+	p.sessions.Each(func(_ slots.Ref, s *session) { n += s.owed() })
 	return n
 }
 
@@ -89,7 +85,7 @@
 	p.over = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
 		if s.conn != nil {
-			s.conn.Close(closeEnd)
+			s.close(closeEnd)
 		}
 	})
 }
@@ -99,7 +95,7 @@
 	p.draining = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
 		if s.idle() && s.conn.Quiet() {
-			s.conn.Close(closeDrain)
+			s.close(closeDrain)
 		}
 	})
 }
@@ -128,6 +124,27 @@
 	at      *list.Element // in the crowd
 }
 
+// owed is the number of its requests that have no answer yet.
+func (s *session) owed() int {
+	n := 0
+	for _, a := range s.queue {
+		if a.open {
+			n++
+		}
+	}
+	return n
+}
+
+// close is the one way in which this side closes a client's connection. It is not closed while it is owed an answer, unless the client
+// itself is the reason, or the program ends.
+func (s *session) close(why loop.Reason) {
+	forced := why == closeStuck || why == closeMemory || why == closeProtocol
+	if !s.front.guard.Close(string(why), s.owed(), forced) && why != closeEnd {
+		return
+	}
+	s.conn.Close(why)
+}
+
 func (s *session) idle() bool {
 	return !s.closed && !s.ended && s.conn != nil && len(s.queue) == 0 && s.in.Pending() == 0 && s.conn.Unsent() == 0
 }
@@ -136,7 +153,7 @@
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
 	if s.front.over {
-		c.Close(closeEnd)
+		s.close(closeEnd)
 		return
 	}
 	if !s.front.admit(s) {
@@ -150,7 +167,7 @@
 func (s *session) Data(b []byte) {
 	if s.ended {
 		if s.dropped += len(b); s.dropped > maxDropped && s.leaving {
-			s.conn.Close(closeProtocol)
+			s.close(closeProtocol)
 		}
 		return
 	}
@@ -187,7 +204,7 @@
 		}
 	}
 	if s.front.draining && s.started && s.idle() && s.conn.Quiet() {
-		s.conn.Close(closeDrain)
+		s.close(closeDrain)
 	}
 }
 
@@ -247,7 +264,7 @@
 	case pgwire.StartupEncrypt:
 		s.send([]byte{'N'})
 	case pgwire.StartupCancel:
-		s.conn.Close(closeCancel)
+		s.close(closeCancel)
 	default:
 		s.started, s.since = true, s.front.loop.Now()
 		s.send(pgwire.AppendWelcome(s.out[:0]))
--- a/internal/front/postgres_test.go
+++ b/internal/front/postgres_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"beechgrade/internal/clock"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
@@ -45,7 +46,7 @@
 			return named, nil
 		},
 		gone: func(ref slots.Ref) { gone <- ref },
-	}, Budget{Spare: func() int { return 9 }, Share: func() int { return 9 }, Free: func() bool { return false },
+	}, invariant.New(slog.New(slog.DiscardHandler), l.Metrics()), Budget{Spare: func() int { return 9 }, Share: func() int { return 9 }, Free: func() bool { return false },
 		Memory: func() int { return 1 << 20 }})
 	l.Ready = func() { close(ready) }
 	go func() { ended <- l.Run("127.0.0.1:0") }()
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if s.front.crowd[leaving].Len() >= maxLeaving || s.conn.Unsent() > 0 || s.conn.CloseWrite() != nil {
-		s.conn.Close(closeLastWord)
+		s.close(closeLastWord)
 		return
 	}
 	s.ended, s.leaving, s.since = true, true, s.front.loop.Now()
