--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -172,6 +172,7 @@
 		p.enter(closing)
 		p.front.Drain()
 	})
+	refusing := false
 	var look func()
 	look = func() {
 		now := p.loop.Now()
@@ -179,6 +180,12 @@
 			p.loop.At(now+pollMs, look)
 			return
 		}
+		// Clients that came in the last moment are served like any others; later ones find nobody and go elsewhere.
+		if !refusing && now < began+drainMost {
+			refusing = p.loop.StopListening()
+			p.loop.At(now+pollMs, look)
+			return
+		}
 		p.enter(ended)
 		p.unanswered = p.front.Waiting()
 		p.core.Guard().End(p.unanswered)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -210,7 +210,7 @@
 	if !ok {
 		return false
 	}
-	if !q.over && c.loop.Stale() && !q.client.Here() {
+	if !q.over && !q.client.Here() {
 		c.Gone(t.Request, "peer, seen at the send")
 		return false
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,7 +25,7 @@
 	Served(answer []byte)    // valid during the call
 	Refused(retryMs float64) // trying again is harmless, after so long where that is not 0
 	Failed()                 // nothing is promised
-	Here() bool              // it has not gone, as far as the system knows now
+	Here() bool              // it has not gone, as far as the loop knows, or the system where the loop was held up
 }
 
 // Desk takes requests in. Ask may answer before it returns; the Ref it returns then names none.
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -82,7 +82,7 @@
 		retryDetail(retryMs))))
 }
 
-// Here is Client's: it asks the system, as the loop may not have been told of an end yet.
+// Here is Client's.
 func (a *answer) Here() bool { return !a.s.closed && !a.s.conn.Ended() }
 
 // retryDetail is the field D of a refusal.
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -273,11 +273,15 @@
 	return c.lateSince
 }
 
-// Ended tells whether the other side has closed the connection, or it has broken, though the loop may not have come to that yet.
+// Ended tells whether the other side has closed the connection, or it has broken. Where the loop may not have come to that yet, as it
+// was held up or reading fails, it asks the system.
 func (c *Conn) Ended() bool {
 	if c.state != open {
 		return true
 	}
+	if c.lateSince == 0 && !c.loop.Stale() {
+		return false
+	}
 	var b [1]byte
 	n, _, err := c.loop.kernel.recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err != nil {
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -25,6 +25,7 @@
 	tries  backoff
 	paused bool // accepting has failed and is tried again after a pause
 	hushed bool // the poller does not tell of it meanwhile
+	closed bool
 }
 
 // open listens on addr, unless another does.
@@ -96,7 +97,7 @@
 // ready accepts one connection; the poller tells again of those that are left. After a failure it goes on until none is left, so
 // that every one is known to have waited since then at the earliest.
 func (n *listener) ready(l *Loop) {
-	for repeats := 0; !n.paused; {
+	for repeats := 0; !n.paused && !n.closed; {
 		fd, _, err := l.kernel.accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == nil {
 			l.accepted(fd, n.tries.sinceMs)
@@ -145,7 +146,7 @@
 
 // resume accepts again, first by itself, as the poller may not be able to tell of the listener yet.
 func (n *listener) resume(l *Loop) {
-	if l.ending {
+	if n.closed {
 		return
 	}
 	n.paused = false
@@ -161,7 +162,26 @@
 	n.hushed = false
 }
 
-func (n *listener) close(l *Loop) { _ = l.kernel.closeFD(n.fd) }
+// StopListening accepts what waits and has later clients refused, who can then go elsewhere. It tells whether it could.
+func (l *Loop) StopListening() bool {
+	n := &l.listener
+	if n.closed {
+		return true
+	}
+	n.tries.next(l.Now()) // so that it accepts until none is left
+	if n.ready(l); n.paused {
+		return false
+	}
+	n.close(l)
+	return true
+}
+
+func (n *listener) close(l *Loop) {
+	if !n.closed {
+		n.closed = true
+		_ = l.kernel.closeFD(n.fd)
+	}
+}
 
 // accepted takes a connection over, which may have come at the given time, 0 for only now.
 func (l *Loop) accepted(fd int, since float64) {
