--- a/internal/emulator/ledger_test.go
+++ b/internal/emulator/ledger_test.go
@@ -35,8 +35,8 @@
 			l.End(r, Served)
 		}, safeClass(), nil},
 		"late as its pooler was hindered": {func(l *Ledger, r *Request) {
-			r.Due = ago(time.Second)
-			l.Hinder("p", time.Second)
+			r.Sent, r.Due = ago(2*time.Second), ago(time.Second)
+			l.spans["p"] = []span{{ago(1200 * time.Millisecond), ago(100 * time.Millisecond)}}
 			l.End(r, Served)
 		}, safeClass(), nil},
 		"asked by nobody": {func(l *Ledger, _ *Request) { l.Arrive("other", "s", time.Second, false) }, safeClass(), []Rule{RuleWrong}},
