Take no connection for up while the poller fails and it is still under way

Cause: found by reading: the look at all connections while epoll_wait fails took a connect without an error for one that has come up; a try that was ahead of its timer left that timer. Change: only what the poller told counts as up without a peer; the timer goes with the try. Result: TestDialWhileThePollerFails fails without the change to connectStatus by its count; internal/loop passes under the race detector.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -200,6 +200,7 @@
 
 // tryAgain reads and writes without waiting for the poller, which may not be able to watch the connection.
 func (c *Conn) tryAgain() {
+	c.loop.Stop(c.again)
 	c.again = nil
 	if c.tries.enduring(c.loop.Now()) {
 		c.abandon("poll", unix.ETIMEDOUT)
@@ -208,7 +209,7 @@
 	}
 	c.readStops, c.writeStops = false, false
 	if c.state == connecting {
-		c.connected()
+		c.connected(false)
 	}
 	if c.state == open {
 		c.flush()
@@ -224,7 +225,7 @@
 // happened carries out what the poller tells.
 func (c *Conn) happened(events uint32) {
 	if c.state == connecting {
-		c.connected()
+		c.connected(true)
 		return
 	}
 	if events&unix.EPOLLOUT != 0 {
--- a/internal/loop/dial.go
+++ b/internal/loop/dial.go
@@ -121,9 +121,10 @@
 	c.dial.failed(&DialError{call, local(err), err})
 }
 
-// connected takes a connection over that has come up, or has failed to.
-func (c *Conn) connected() {
-	status, call, err := c.connectStatus()
+// connected takes a connection over that has come up, or has failed to. told says that the poller has told so; it may still be under
+// way otherwise.
+func (c *Conn) connected(told bool) {
+	status, call, err := c.connectStatus(told)
 	if err != nil {
 		c.loop.failed(call, err)
 		c.abandon(call, err)
@@ -148,7 +149,7 @@
 }
 
 // connectStatus asks the system how the connect has ended; EINPROGRESS stands for not yet.
-func (c *Conn) connectStatus() (status unix.Errno, call string, err error) {
+func (c *Conn) connectStatus(told bool) (status unix.Errno, call string, err error) {
 	var no int
 	for range fewRepeats {
 		if no, err = c.loop.kernel.getsockopt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil {
@@ -159,8 +160,8 @@
 	if err != nil || no != 0 {
 		return unix.Errno(no), "getsockopt", err
 	}
-	// No error may also mean that it is still under way, where the poller was not asked. Only a connection has a peer.
-	if !c.registered {
+	// No error may also mean that it is still under way. Only a connection has a peer.
+	if !told {
 		if _, err := c.loop.kernel.getpeername(c.fd); errors.Is(err, unix.ENOTCONN) {
 			return unix.EINPROGRESS, "", nil
 		}
--- a/internal/loop/faults_test.go
+++ b/internal/loop/faults_test.go
@@ -300,6 +300,42 @@
 	}
 }
 
+// TestDialWhileThePollerFails: a connection that is still under way does not pass for one that has come up.
+func TestDialWhileThePollerFails(t *testing.T) {
+	polls, peers := fail(0, unix.EINVAL), fail(3, unix.ENOTCONN)
+	r := run(t, func(k *kernel) {
+		k.epollWait = func(epfd int, events []unix.EpollEvent, ms int) (int, error) {
+			if err := polls.next(); err != nil {
+				return -1, err
+			}
+			return unix.EpollWait(epfd, events, ms)
+		}
+		k.getpeername = func(fd int) (syscall.Sockaddr, error) {
+			if err := peers.next(); err != nil {
+				return nil, err
+			}
+			return syscall.Getpeername(fd)
+		}
+	})
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	d := &dialled{make(chan *Conn, 1), make(chan string, 1)}
+	polls.left.Store(-1)
+	r.onLoop(func() { r.Dial(peer.Addr().String(), 5000, d, func(err error) { t.Error(err) }) })
+	select {
+	case <-d.opened:
+	case <-time.After(patience):
+		t.Fatal("it is never told as up")
+	}
+	if left := peers.left.Load(); left != 0 {
+		t.Errorf("told as up while the system said %d times more that it is not", left)
+	}
+	polls.left.Store(0)
+}
+
 // TestWakeFails: a posted function runs although the write that wakes the loop for it fails.
 func TestWakeFails(t *testing.T) {
 	f := fail(0, unix.EIO)
