--- a/router_test.go
+++ b/router_test.go
@@ -1367,9 +1367,8 @@
 func TestSlowAnswersTellOfOthersLoad(t *testing.T) {
 	for siblings, avoids := range map[int]bool{250: true, 1: false} {
 		g := trio(t, func(s *Settings) { s.Siblings, s.Behind = siblings, BehindRefuses })
-		a := g.r.stores["a"]
 		first := of(Send, g.ask("1", cAny))[0].Store
-		a = g.r.stores[first]
+		a := g.r.stores[first]
 		for range 39 { // the router is awake: this is no standstill of its own
 			g.pass(beat)
 		}
@@ -1585,8 +1584,7 @@
 	var all []*rig
 	held := map[StoreID][]*job{}
 	rng := rand.New(rand.NewPCG(seed, 9))
-	var handle func(g *rig, actions []Action)
-	handle = func(g *rig, actions []Action) {
+	handle := func(g *rig, actions []Action) {
 		for _, a := range of(Send, actions) {
 			held[a.Store] = append(held[a.Store], &job{g, a.ID, rng.ExpFloat64() * work})
 		}
