--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -262,7 +262,7 @@
 		}
 		say(t, far, pgwire.AppendWelcome(nil))
 	}
-	r.until(func() bool { return len(r.pool.stores["s"].idle) == 2 })
+	r.until(func() bool { return len(r.pool.servers["s"].idle) == 2 })
 	r.do(func() { r.pool.Drain("s") })
 	for _, far := range slow {
 		if n, _ := io.Copy(io.Discard, far); n > 0 {
@@ -302,7 +302,7 @@
 				}
 			})
 			if late != nil {
-				late(r.pool.stores["s"].waiting[0], r.clk.Ms)
+				late(r.pool.servers["s"].waiting[0], r.clk.Ms)
 			}
 		})
 		if o := r.next(); o.Result != beechgrade.Skipped {
@@ -346,8 +346,8 @@
 		p.Start("t", events, clk.Ms+9000, math.Inf(1), true, Tag{No: 2})
 		p.Retain(map[string]bool{"s": true}) // t has left the list
 		p.Forget("s")
-		if len(p.stores) != 0 {
-			t.Errorf("kept of servers that left: %v", p.stores)
+		if len(p.servers) != 0 {
+			t.Errorf("kept of servers that left: %v", p.servers)
 		}
 	})
 	for range 3 {
