Name the drain's states and steps; tell a server the time reckoned at the send itself

Change: the core reckons the told time in the same step as the guard checks it; a connection that has not started yet is not closed by the drain; the drain is a type of its own in lifecycle.go.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,40 +15,16 @@
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
-	"beechgrade/internal/metrics"
 )
 
 const (
-	reserved   = 64    // descriptors for discovery, the listener, the poller and the runtime
-	poolMost   = 0.45  // of the others, at most for connections to servers...
-	poolLeast  = 0.2   // ...and what clients leave to them
-	askPart    = 4     // clients that ask and hold 1 descriptor in so many are many
-	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
-	drainMs    = 700   // after SIGTERM clients still come; the process may be killed so long after the longest deadline
-	drainEnd   = 500   // after the longest deadline, what came meanwhile has its answer...
-	drainClose = 250   // ...and so long after it, clients' idle connections are closed
-	deadlineMs = 3000  // counted as the longest deadline where that is longer
-	pollMs     = 20    // between looks at whether something is still owed
-	drainMost  = 10000 // a client that never goes does not keep the process
+	reserved  = 64   // descriptors for discovery, the listener, the poller and the runtime
+	poolMost  = 0.45 // of the others, at most for connections to servers...
+	poolLeast = 0.2  // ...and what clients leave to them
+	askPart   = 4    // clients that ask and hold 1 descriptor in so many are many
+	idlePart  = 0.8  // of the servers' idle time, after which a connection is closed here
 )
 
-// state is where the process stands between its start and its end.
-type state int
-
-// The states, in their order.
-const (
-	starting state = iota // nobody is served yet
-	serving
-	draining // told to end: clients are served as before
-	closing  // clients' connections are closed as they fall idle; what is owed is answered
-	ended
-)
-
-var stateNames = [...]string{starting: "starting", serving: "serving", draining: "draining", closing: "closing", ended: "ended"}
-
-// String is the state's name.
-func (s state) String() string { return stateNames[s] }
-
 // pooler is the program's parts, joined.
 type pooler struct {
 	cfg   *config.Config
@@ -96,16 +72,6 @@
 	return int(min(limit.Cur, math.MaxInt32))
 }
 
-// enter is the one place where the state changes. It only goes forward.
-func (p *pooler) enter(next state) {
-	if next <= p.state {
-		return
-	}
-	p.log.Info("state", "from", p.state, "to", next, "sessions", p.front.Sessions(), "open", p.core.Open(), "owes", p.front.Owes())
-	p.loop.Metrics().Add(metrics.States, next.String())
-	p.state = next
-}
-
 // countersMs is the time between two lines with the counters.
 const countersMs = 10000
 
@@ -130,7 +96,7 @@
 func (p *pooler) run(stop, reload <-chan os.Signal) error {
 	go func() {
 		<-stop
-		p.loop.Post(p.drain)
+		p.loop.Post(p.beginDrain)
 	}()
 	go p.reload(reload)
 	if err := p.loop.Run(p.cfg.Listen); err != nil {
@@ -156,46 +122,3 @@
 	p.pool.SetTimes(p.cfg.ConnectTimeoutMs, p.cfg.IdleMs*idlePart)
 	p.dir.Move(p.cfg.Discovery)
 }
-
-// drain ends the service. No new connections come after a while, as the clients' side hears of the restart, but
-// those that there are stay in use for as long as they stay open: nobody else may be there to take their requests.
-// So they are closed late, just soon enough to answer all before the process may be killed.
-func (p *pooler) drain() {
-	began, longest := p.loop.Now(), 0.0
-	for _, c := range p.cfg.Settings.Classes {
-		longest = max(longest, clock.Millis(c.Deadline))
-	}
-	longest = min(longest, deadlineMs)
-	p.enter(draining)
-	p.core.EndAt(began + longest + drainEnd)
-	p.loop.At(began+longest+drainClose, func() {
-		p.enter(closing)
-		p.front.Drain()
-	})
-	refusing := false
-	var look func()
-	look = func() {
-		now := p.loop.Now()
-		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && p.busy() {
-			p.loop.At(now+pollMs, look)
-			return
-		}
-		// Clients that came in the last moment are served like any others; later ones find nobody and go elsewhere.
-		if !refusing && now < began+drainMost {
-			refusing = p.loop.StopListening()
-			p.loop.At(now+pollMs, look)
-			return
-		}
-		p.enter(ended)
-		p.unanswered = p.front.Waiting()
-		p.core.Guard().End(p.unanswered)
-		p.log.Info("drained", "ms", now-began, "unanswered", p.unanswered)
-		p.loop.Metrics().Log(p.log)
-		p.front.End() // the loop takes a moment to end
-		p.loop.End()
-	}
-	look()
-}
-
-// busy tells whether anybody is owed anything, or may be: clients that could not be accepted yet may have asked.
-func (p *pooler) busy() bool { return p.core.Open() > 0 || p.front.Owes() || p.loop.Backlog() }
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -715,8 +715,7 @@
 	}
 }
 
-// TestDescriptorsRunShort: gnet's loop ends if it cannot accept, so there are never more connections than descriptors: a
-// new client takes an idle one's place.
+// TestDescriptorsRunShort: there are never more connections than descriptors: a new client takes an idle one's place.
 func TestDescriptorsRunShort(t *testing.T) {
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
@@ -847,11 +846,11 @@
 	})
 	c, idle := client(t, pooler), client(t, pooler)
 	standing, came := make(chan struct{}), make(chan struct{})
-	p.loop.Post(p.drain)
+	p.loop.Post(p.beginDrain)
 	p.loop.Post(func() { // the loop stands here past the time at which it would close and end
 		close(standing)
 		<-came
-		for end := p.loop.Now() + 1000 + drainClose + 2*pollMs; p.loop.Now() < end; {
+		for end := p.loop.Now() + 1000 + closeClientsMs + 2*drainPollMs; p.loop.Now() < end; {
 			runtime.Gosched()
 		}
 	})
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -107,12 +107,15 @@
 
 // send has a free connection carry an attempt, unless that may not be sent any more, and tells whether it does.
 func (p *Pool) send(c *conn, a *attempt) bool {
-	tellMs := max(1, math.Floor(a.until-p.loop.Now()))
-	if a.query != nil && !p.events.MaySend(a.tag, tellMs) {
+	tellMs, ok := 0, true
+	if a.query != nil {
+		tellMs, ok = p.events.MaySend(a.tag, a.until)
+	}
+	if !ok {
 		p.drop(a, beechgrade.Skipped)
 		return false
 	}
-	c.carry(a, int(tellMs))
+	c.carry(a, tellMs)
 	return true
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -24,7 +24,7 @@
 
 func (c told) AttemptEnded(_ Tag, o Outcome)      { c <- o }
 func (c told) ProbeEnded(_ string, o Outcome)     { c <- o }
-func (told) MaySend(Tag, float64) bool            { return true }
+func (told) MaySend(Tag, float64) (int, bool)     { return 1, true }
 func (told) AppendQuery(dst []byte, _ int) []byte { return pgwire.AppendQuery(dst, "query") }
 
 type nobody struct{}
--- a/internal/backend/held_up_test.go
+++ b/internal/backend/held_up_test.go
@@ -15,7 +15,7 @@
 	may bool
 }
 
-func (f forbidding) MaySend(Tag, float64) bool { return f.may }
+func (f forbidding) MaySend(Tag, float64) (int, bool) { return 1, f.may }
 
 // TestAsksBeforeItSends: an attempt waits for its connection. Right before it is written the pool asks whether it still may be, as its
 // client may have gone meanwhile, and does not write it otherwise.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,7 +21,8 @@
 type Events interface {
 	AttemptEnded(t Tag, o Outcome)
 	ProbeEnded(server string, o Outcome)
-	MaySend(t Tag, tellMs float64) bool // asked right before an attempt is written, with the time that the server is told
+	// MaySend is asked right before an attempt is written that ends by itself at until. It says how much time the server is told.
+	MaySend(t Tag, until float64) (tellMs int, ok bool)
 }
 
 // Options are the pool's limits.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 
 	"beechgrade"
 	"beechgrade/internal/backend"
@@ -205,22 +206,23 @@
 }
 
 // MaySend is backend.Events'. A request whose client is found to have gone is over at once.
-func (c *Core) MaySend(t backend.Tag, tellMs float64) bool {
+func (c *Core) MaySend(t backend.Tag, until float64) (tellMs int, ok bool) {
 	q, ok := c.requests.Get(t.Request)
 	if !ok {
-		return false
+		return 0, false
 	}
 	if !q.over && !q.client.Here() {
 		c.Gone(t.Request, "peer, seen at the send")
-		return false
+		return 0, false
 	}
 	class, now := &c.cfg.Settings.Classes[q.class], c.loop.Now()
+	tellMs = int(max(1, math.Floor(until-now)))
 	if !c.guard.Send(invariant.Send{ID: q.id, Effect: class.Effect, Over: q.over, Out: q.out(), MayDuplicate: c.cfg.Settings.MayDuplicate,
-		RanAt: q.ranAt, WindowMs: clock.Millis(class.KeyWindow), Now: now, Due: q.due, TellMs: tellMs}) {
-		return false
+		RanAt: q.ranAt, WindowMs: clock.Millis(class.KeyWindow), Now: now, Due: q.due, TellMs: float64(tellMs)}) {
+		return 0, false
 	}
 	q.tries[t.No].sent = now
-	return true
+	return tellMs, true
 }
 
 // out is the number of attempts that were written and have not ended.
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -298,8 +298,8 @@
 		return Abandoned
 	case !c.ledger.Forwarded(r) && c.ledger.Hindered(c.process.Name, r.Sent.Add(-noise), now):
 		return Crossed // whether it was read cannot be seen from here; the pooler's own guard counts it if it was
-	case !c.ledger.Forwarded(r) && !c.fresh && now.Sub(r.Sent) < noise:
-		return Crossed
+	case !c.ledger.Forwarded(r) && (!c.fresh || !fate.Term.IsZero()) && now.Sub(r.Sent) < noise:
+		return Crossed // a new one too, where nobody should come any more: by then the operator's front knows of the end
 	}
 	return Abandoned
 }
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -94,7 +94,7 @@
 func (p *Postgres) Drain() {
 	p.draining = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		if s.idle() && s.conn.Quiet() {
+		if s.started && s.idle() && s.conn.Quiet() { // one that has just come is about to ask
 			s.close(closeDrain)
 		}
 	})
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -71,7 +71,7 @@
 	case s.RanAt > 0 && s.Effect == beechgrade.Unsafe,
 		s.RanAt > 0 && s.Effect == beechgrade.Keyed && s.Now >= s.RanAt+s.WindowMs:
 		return g.violated(RanMaybeTwice, "id", s.ID, "since_ms", s.Now-s.RanAt)
-	case s.TellMs > max(0, s.Due-s.Now)+1: // it is told in whole milliseconds, and was reckoned a moment ago
+	case s.TellMs > max(1, s.Due-s.Now): // less than 1 ms is told as 1
 		return g.violated(ToldTooLong, "id", s.ID, "told_ms", s.TellMs, "left_ms", s.Due-s.Now)
 	}
 	return true
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -24,7 +24,7 @@
 		"safe and may have run":       {func(s *Send) { s.RanAt, s.Effect = 999, beechgrade.Safe }, ""},
 		"keyed, within its window":    {func(s *Send) { s.RanAt, s.Effect = 501, beechgrade.Keyed }, ""},
 		"keyed, past its window":      {func(s *Send) { s.RanAt, s.Effect = 500, beechgrade.Keyed }, RanMaybeTwice},
-		"told more than is left":      {func(s *Send) { s.TellMs = 1002 }, ToldTooLong},
+		"told more than is left":      {func(s *Send) { s.TellMs = 1001 }, ToldTooLong},
 		"told the least there is":     {func(s *Send) { s.Due, s.TellMs = 1000.5, 1 }, ""},
 		"unsafe, but nothing has run": {func(s *Send) { s.RanAt = 0 }, ""},
 	} {
