--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,17 +3,14 @@
 package core
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 
 	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/loop"
@@ -76,38 +73,6 @@
 	e  beechgrade.Event
 }
 
-// request is one that a client asked; it stays until it is over and its attempts have ended.
-type request struct {
-	id     string
-	once   bool // it must not run twice
-	client front.Client
-	query  backend.Query
-	due    float64
-	tries  []try // by number
-	open   int
-	over   bool
-
-	answered bool
-	ranAt    float64 // the first attempt that may have run was written then, 0 for none
-
-	// told in the log where it ends badly
-	class, group int
-	arrived      float64
-	repeat       bool
-	why          string // the module's reason for a refusal or failure
-}
-
-// try is an attempt; one that was skipped has no ref.
-type try struct {
-	store  beechgrade.StoreID
-	ref    slots.Ref
-	began  float64
-	waited float64 // for a connection
-	sent   float64 // 0 until it is about to be written
-	ended  float64 // 0 while it is out
-	result beechgrade.Result
-}
-
 // New makes the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
@@ -205,103 +170,11 @@
 		Final: final, Told: told(o)})
 }
 
-// MaySend is backend.Events'. A request whose client is found to have gone is over at once.
-func (c *Core) MaySend(t backend.Tag, until float64) (tellMs int, ok bool) {
-	q, ok := c.requests.Get(t.Request)
-	if !ok {
-		return 0, false
-	}
-	if !q.over && !q.client.Here() {
-		c.Gone(t.Request, "peer, seen at the send")
-		return 0, false
-	}
-	class, now := &c.cfg.Settings.Classes[q.class], c.loop.Now()
-	tellMs = int(max(1, math.Floor(until-now)))
-	if !c.guard.Send(invariant.Send{ID: q.id, Effect: class.Effect, Over: q.over, Out: q.out(), MayDuplicate: c.cfg.Settings.MayDuplicate,
-		RanAt: q.ranAt, WindowMs: clock.Millis(class.KeyWindow), Now: now, Due: q.due, TellMs: float64(tellMs)}) {
-		return 0, false
-	}
-	q.tries[t.No].sent = now
-	return tellMs, true
-}
-
-// out is the number of attempts that were written and have not ended.
-func (q *request) out() int {
-	n := 0
-	for i := range q.tries {
-		if y := &q.tries[i]; y.sent > 0 && y.ended == 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// mayHaveRun tells whether an attempt that was written and ended so may have had an effect.
-func mayHaveRun(r beechgrade.Result) bool {
-	switch r {
-	case beechgrade.OK, beechgrade.Failed, beechgrade.TimedOut, beechgrade.Reset, beechgrade.Cancelled:
-		return true
-	}
-	return false
-}
-
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
 }
 
-// Listed is discovery.Events'.
-func (c *Core) Listed(l *discovery.List) {
-	kind := beechgrade.ListChanges
-	if l.Reset {
-		kind = beechgrade.ListFull
-	}
-	c.list(l, kind)
-}
-
-// ListFailed is discovery.Events'.
-func (c *Core) ListFailed() { c.tell(&beechgrade.List{Kind: beechgrade.ListFailed}) }
-
-func (c *Core) list(l *discovery.List, kind beechgrade.ListKind) {
-	e, now := &beechgrade.List{Kind: kind}, c.loop.Now()
-	named := map[string]bool{}
-	for i := range l.Instances {
-		n := &l.Instances[i]
-		if n.ID == "" {
-			continue
-		}
-		entry := beechgrade.Entry{Store: beechgrade.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
-			Zone: c.zones.number(n.Zone), Size: n.Weight, Primary: n.Role == "primary"}
-		if n.StartedAtMs > 0 {
-			entry.Started = clock.Span(min(clock.FromUnix(n.StartedAtMs), now)) // one that lies ahead would be cold for ever
-		}
-		switch n.Lifecycle {
-		case "draining":
-			entry.State = beechgrade.Draining
-		case "removed":
-			entry.State = beechgrade.Gone
-		}
-		named[n.ID] = true
-		if n.HostPort != "" {
-			c.servers.SetAddress(n.ID, n.HostPort)
-		}
-		e.Entries = append(e.Entries, entry)
-	}
-	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
-	c.tell(e)
-	for i := range e.Entries { // what has been sent there stays until it has ended
-		switch id := string(e.Entries[i].Store); {
-		case e.Entries[i].State == beechgrade.Gone && !c.cfg.Settings.DrainOnly:
-			c.servers.Forget(id)
-		case e.Entries[i].State != beechgrade.Serving:
-			c.servers.Drain(id)
-		}
-	}
-	if kind != beechgrade.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
-		c.servers.Retain(named)
-	}
-}
-
 // tell tells the router of what happens now.
 func (c *Core) tell(e beechgrade.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
 
@@ -356,54 +229,6 @@
 	}
 }
 
-// conclude marks a request over, by a final answer of the router's, and returns it, or nil if it was over before.
-func (c *Core) conclude(a *beechgrade.Action) *request {
-	ref := refOf(a.ID)
-	q, ok := c.requests.Get(ref)
-	if !ok || q.over || !c.guard.Answer(q.id, q.answered) {
-		return nil
-	}
-	q.over, q.answered, q.why = true, true, a.Text
-	c.release(ref, q)
-	return q
-}
-
-// release takes back what of a request that is over has not been sent, whether or not the settings allow attempts to be
-// called off, and frees its slot once nothing is left of it.
-func (c *Core) release(ref slots.Ref, q *request) {
-	if !q.over {
-		return
-	}
-	for i := range q.tries {
-		c.servers.Withdraw(q.tries[i].ref)
-	}
-	if _, ok := c.requests.Get(ref); ok && q.open == 0 { // the last one taken back has led here already
-		c.requests.Drop(ref)
-		delete(c.ids, q.id)
-	}
-}
-
-// send starts a request's next attempt, or skips it where the wire's rules let it not be sent.
-func (c *Core) send(a *beechgrade.Action) {
-	ref := refOf(a.ID)
-	q, ok := c.requests.Get(ref)
-	if !ok {
-		return
-	}
-	no, until := len(q.tries), q.due
-	if a.Wait != 0 {
-		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
-	}
-	q.tries = append(q.tries, try{store: a.Store, began: c.loop.Now()})
-	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
-		c.tell(&beechgrade.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: beechgrade.Skipped, Final: q.over})
-		return
-	}
-	q.open++
-	at := c.servers.Start(string(a.Store), q.query, until, clock.Millis(a.By), q.once, backend.Tag{Request: ref, No: no})
-	q.tries[no].ref = at
-}
-
 func told(o backend.Outcome) beechgrade.Report {
 	r := beechgrade.Report{Role: o.Role, HasPosition: o.HasPos}
 	if o.HasPos {
@@ -411,39 +236,3 @@
 	}
 	return r
 }
-
-// requestID names a request to the router by its slot: clients' own ids might meet.
-func requestID(r slots.Ref) beechgrade.RequestID {
-	var b [8]byte
-	binary.BigEndian.PutUint32(b[:4], r.Index)
-	binary.BigEndian.PutUint32(b[4:], r.Gen)
-	return beechgrade.RequestID(b[:])
-}
-
-func refOf(id beechgrade.RequestID) slots.Ref {
-	if len(id) != 8 {
-		return slots.Ref{}
-	}
-	b := []byte(id)
-	return slots.Ref{Index: binary.BigEndian.Uint32(b[:4]), Gen: binary.BigEndian.Uint32(b[4:])}
-}
-
-// names numbers names; ones that the settings do not have get numbers behind theirs.
-type names map[string]int
-
-func newNames(list []string) names {
-	n := names{}
-	for _, s := range list {
-		n.number(s)
-	}
-	return n
-}
-
-func (n names) number(s string) int {
-	i, ok := n[s]
-	if !ok {
-		i = len(n)
-		n[s] = i
-	}
-	return i
-}
