--- a/api.go
+++ b/api.go
@@ -2,7 +2,7 @@
 // groups of one primary and its replicas. It holds decisions only: no sockets, no clock, no
 // goroutines. The embedding proxy feeds events to a Router and carries out its actions.
 //
-// This file is the interface: settings, events and actions. Every decision is in router.go.
+// This file is the interface: settings, events and actions. Decisions are in router.go, those on health in health.go.
 package beechgrade
 
 import "time"
--- a/state.go
+++ b/state.go
@@ -58,7 +58,7 @@
 const (
 	healthy health = iota
 	onTrial        // may take a few requests at a time until it answers
-	down           // takes nothing until a probe succeeds
+	down           // takes nothing until a probe succeeds, or without probes a while has passed
 )
 
 type store struct {
