--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -93,7 +93,7 @@
 
 // count brings the sum of what is held up to date.
 func (s *session) count() {
-	n := 0
+	n, open := 0, 0
 	if !s.closed {
 		n = s.in.Pending()
 		if s.conn != nil {
@@ -101,22 +101,18 @@
 		}
 		for _, a := range s.queue {
 			n += a.size
+			if a.open {
+				open += a.size
+			}
 		}
 	}
 	s.front.held += n - s.held
-	s.held = n
+	s.front.heldOpen += open - s.open
+	s.held, s.open = n, open
 }
 
 // aside is what the client holds beside its open requests: what it sends ahead and does not read.
-func (s *session) aside() int {
-	n := s.held
-	for _, a := range s.queue {
-		if a.open {
-			n -= a.size
-		}
-	}
-	return n
-}
+func (s *session) aside() int { return s.held - s.open }
 
 // Start begins the sweeps; it is for the loop.
 func (p *Postgres) Start() { p.loop.At(p.loop.Now()+sweepMs, p.sweep) }
@@ -213,8 +209,8 @@
 	return false
 }
 
-// full tells whether a request of so many bytes is too much while requests that wait hold half of what clients may.
-func (p *Postgres) full(size int) bool { return p.held+size > p.budget.Memory()/heldPart/2 }
+// full tells whether open requests hold over half of what clients may, so that no further one is taken.
+func (p *Postgres) full() bool { return p.heldOpen > p.budget.Memory()/heldPart/2 }
 
 // bound cuts off whoever holds most, beside its open requests, while all hold too much together.
 func (p *Postgres) bound() {
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -43,7 +43,8 @@
 	crowd    [uses]list.List // of sessions, by use; those of longest standing first
 	draining bool
 	over     bool // the program ends
-	held     int  // bytes that clients have sent, or are yet to have, and that wait here
+	held     int  // bytes that clients have sent, or are yet to have, and that wait here...
+	heldOpen int  // ...of them, those of requests that have no answer yet
 	turned   int  // clients turned away since the last sweep
 }
 
@@ -118,7 +119,8 @@
 	out     []byte
 	since   float64 // accepted, idle, in the midst of a message, or leaving: since then
 	stuck   float64 // it has not read all of its answers since then, 0 for not so
-	held    int     // its part of the front's
+	held    int     // its part of the front's...
+	open    int     // ...and of those of open requests
 	dropped int     // bytes that came after its end
 	use     use
 	at      *list.Element // in the crowd
@@ -294,11 +296,11 @@
 		q.After = clock.FromUnix(st.After)
 	}
 	a := s.begin(len(sql))
-	if s.front.full(len(sql)) {
+	a.open = true
+	if s.count(); s.front.full() {
 		a.Refused(min(restMs, s.front.budget.RetryMs))
 		return
 	}
-	a.open = true
 	ref, err := s.front.desk.Ask(q, a)
 	switch {
 	case err != nil:
