--- a/internal/front/room_test.go
+++ b/internal/front/room_test.go
@@ -139,13 +139,11 @@
 	}
 }
 
-// TestMemoryIsKeptByRefusing: requests that wait hold half of what clients may; the next one is refused, and no client is cut off. What
-// others have sent of a message that is not whole refuses nobody.
+// TestMemoryIsKeptByRefusing: requests that wait hold half of what clients may; the next one is refused, and no client is cut off.
 func TestMemoryIsKeptByRefusing(t *testing.T) {
 	const memory = 1 << 20 // clients may hold 128 KiB, waiting requests half of that
 	s := newShop(t, memory)
-	first, second, half := s.client(), s.client(), s.client()
-	s.write(half, request("half", 40<<10)[:40<<10])
+	first, second := s.client(), s.client()
 	s.write(first, request("1", 60<<10))
 	waiting := s.next()
 	s.write(second, request("2", 60<<10))
@@ -160,3 +158,18 @@
 		t.Errorf("%d connections were closed, %d more requests taken", got, len(s.asked))
 	}
 }
+
+// TestHalfAMessageRefusesNobody: what a client has sent of a message that is not whole may be as much, and others are served.
+func TestHalfAMessageRefusesNobody(t *testing.T) {
+	s := newShop(t, 1<<20)
+	half, usual := s.client(), s.client()
+	s.write(half, request("half", 80<<10)[:70<<10])
+	for came := false; !came; { // until it is there
+		s.do(func() { came = s.front.held >= 70<<10 })
+	}
+	s.write(usual, request("1", 20<<10))
+	s.do(s.next().Failed)
+	if got := s.loop.Metrics().Sum(metrics.Closed); got != 0 {
+		t.Errorf("%d connections were closed", got)
+	}
+}
