--- a/health.go
+++ b/health.go
@@ -136,7 +136,8 @@
 // probePause is the time between probes of a store thought down.
 func probePause(s *store) Time { return probeDown << min(max(0, s.probeFails-probeSoon), probeMost) }
 
-// tryOut puts a store that is down on trial after a while, where no probe may ask whether it is well: only requests can tell then.
+// tryOut puts a store that is down on trial after a while, where no probe may ask whether it is well: only
+// requests can tell then.
 func (r *Router) tryOut(s *store) {
 	if r.now-s.badAt < probePause(s) {
 		return
