Pool: keep a connection's state whole while a call to the router is out

Cause: conn.serveNext set a connection to idle before it put it among the server's idle ones. If the first attempt that waited for it was skipped, the report of that reached the router, which sent the request to another server at once; at the limit that dial closed the only connection in state idle, the one that serveNext still held. serveNext then listed the closed connection, and Pool.start looped over it forever, as Close does nothing on a closed connection and nothing else took it out of the list. With another attempt behind the skipped one, that one was written to the closed connection and had no end before its time-out. Change: state idle and membership in server.idle begin together (becomeIdle), before anything is called; serveWaiting then pairs idle connections with waiting attempts and keeps nothing across a call. StartAttempt goes the same way, so that older attempts are served first. A connection that a waiting attempt is about to use is not closed to make room. Loops over the idle ones take each out themselves.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -103,7 +103,8 @@
 	switch {
 	case c.state == startingUp:
 		c.server.dialing--
-		c.serveNext()
+		c.becomeIdle()
+		p.serveWaiting(c.server)
 	case c.state == busy && c.attempt != nil:
 		a, o := c.attempt, c.outcome
 		p.idleTimeout.record(p.loop.Now(), c.idleMs, false)
@@ -116,7 +117,8 @@
 		}
 		c.attempt, a.conn = nil, nil
 		// Free the connection before the outcome is reported: that call may start an attempt which uses it.
-		c.serveNext()
+		c.becomeIdle()
+		p.serveWaiting(c.server)
 		p.finish(a, o)
 		if cap(c.answer) > maxKeptBufferBytes {
 			c.answer = nil
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"beechgrade"
 	"beechgrade/internal/deadline"
@@ -88,38 +89,71 @@
 		}
 		p.abort(a, beechgrade.Unreachable)
 	})
+	s.waiting = append(s.waiting, a)
+	p.serveWaiting(s)
+	if slices.Contains(s.waiting, a) {
+		p.dialForWaiting(s)
+	}
+}
+
+// serveWaiting sends waiting attempts on the idle connections of their server, oldest first, until none is left that can be
+// sent. Each send may call the receiver of events, which may start and end attempts and open and close connections. No state
+// is therefore kept from one send to the next.
+func (p *Pool) serveWaiting(s *server) {
+	for {
+		a, c := p.nextSend(s)
+		if a == nil {
+			return
+		}
+		p.send(c, a)
+	}
+}
+
+// nextSend returns the next waiting attempt and the idle connection to send it on, or nil if there is none. It closes the idle
+// connections that can no longer be used.
+func (p *Pool) nextSend(s *server) (*attempt, *conn) {
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
-		// The server may have closed the connection without the loop having read the end of the stream yet. A request
-		// written now would end in a reset, and one that must not take effect twice could not be retried.
-		if !c.loopConn.NoPendingInput() {
-			c.loopConn.Close(closeUnexpectedInput)
-			continue
+		a := p.nextAttemptFor(c)
+		if a == nil { // the other connections have been idle for longer
+			return nil, nil
 		}
-		if a.atMostOnce && p.loop.Now()-c.idleSince >= p.idleTimeout.limitMs { // the connection has probably expired
-			break
+		// The server may have closed the connection without the loop having read the end of the stream yet. A request
+		// written now would end in a reset, and one that must not take effect twice could not be retried. Data that was
+		// received after an answer would be taken for the answer to the next request.
+		if c.loopConn.NoPendingInput() {
+			return a, c
 		}
-		p.send(c, a)
-		return
+		c.removeFromIdle()
+		c.loopConn.Close(closeUnexpectedInput)
 	}
-	s.waiting = append(s.waiting, a)
-	if s.dialing < len(s.waiting) {
-		p.dial(s)
+	return nil, nil
+}
+
+// nextAttemptFor returns the attempt that has waited longest of those that may use an idle connection, or nil. An attempt that
+// must not take effect twice is not sent on a connection that has probably expired.
+func (p *Pool) nextAttemptFor(c *conn) *attempt {
+	probablyExpired := p.loop.Now()-c.idleSince >= p.idleTimeout.limitMs
+	for _, a := range c.server.waiting {
+		if !a.atMostOnce || !probablyExpired {
+			return a
+		}
 	}
+	return nil
 }
 
-// send sends an attempt on a free connection, unless the attempt may no longer be sent. It reports whether it was sent.
-func (p *Pool) send(c *conn, a *attempt) bool {
-	timeLimitMs, ok := 0, true
-	if a.query != nil {
+// send sends a waiting attempt on an idle connection, or ends it as skipped if it may no longer be sent.
+func (p *Pool) send(c *conn, a *attempt) {
+	p.removeWaiting(a)
+	timeLimitMs, ok := 0, !p.expired(a) // its timer may be due, and the loop has not run it yet
+	if ok && a.query != nil {
 		timeLimitMs, ok = p.events.BeforeSend(a.attemptID, a.timeoutAt)
 	}
 	if !ok {
 		p.abort(a, beechgrade.Skipped)
-		return false
+		return
 	}
 	c.writeQuery(a, timeLimitMs)
-	return true
 }
 
 // expired reports whether the send deadline or the time-out of an attempt has passed.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,8 +28,8 @@
 const (
 	dialing    state = iota
 	startingUp       // the startup message was sent, ReadyForQuery has not been received
-	idle
-	busy // a query was sent
+	idle             // ready for a query; exactly these connections are in server.idle
+	busy             // a query was sent
 	closed
 )
 
@@ -102,37 +102,25 @@
 	_ = lc.Write(pgwire.AppendStartup(nil, c.pool.opt.User, c.pool.opt.Database))
 }
 
-// serveNext sends the next waiting attempt on a connection that is ready, or puts the connection among the idle ones.
-func (c *conn) serveNext() {
+// becomeIdle adds a connection that is ready for a query to the server's idle ones, or closes it if it cannot be reused. It
+// leaves the waiting attempts to Pool.serveWaiting.
+func (c *conn) becomeIdle() {
+	p := c.pool
 	c.state = idle
-	c.idleSince = c.pool.loop.Now()
-	// If the server's address has changed, another server may be listening at the old one. Data that was received after an
-	// answer would be taken for the answer to the next request.
-	if c.addr != c.server.addr {
+	c.idleSince = p.loop.Now()
+	if c.addr != c.server.addr { // another server may be listening at the old address
 		c.loopConn.Close(closeAddressChanged)
 		return
 	}
-	if c.input.Buffered() > 0 || !c.loopConn.NoPendingInput() {
+	if c.input.Buffered() > 0 { // it would be taken for the answer to the next request
 		c.loopConn.Close(closeUnexpectedInput)
 		return
 	}
-	p := c.pool
-	for len(c.server.waiting) > 0 {
-		a := c.server.waiting[0]
-		if p.expired(a) { // its timer is due, and the loop has not run it yet
-			p.abort(a, beechgrade.Skipped)
-			continue
-		}
-		p.removeWaiting(a)
-		if p.send(c, a) {
-			return
-		}
-	}
 	p.lastIdleSeq++
 	c.idleSeq = p.lastIdleSeq
 	c.server.idle = append(c.server.idle, c)
 	p.loop.StopTimer(c.timer)
-	c.timer = p.loop.At(p.loop.Now()+p.opt.IdleTimeoutMs, func() { c.loopConn.Close(closeIdle) })
+	c.timer = p.loop.At(c.idleSince+p.opt.IdleTimeoutMs, func() { c.loopConn.Close(closeIdle) })
 }
 
 // writeQuery writes the query of an attempt, which gives the server the time limit timeLimitMs, in milliseconds.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -20,12 +20,13 @@
 }
 
 // Events receives the outcomes of attempts and probes. Its methods may be called from within any method of Pool that starts,
-// cancels or skips attempts, such as StartAttempt, CancelAttempt, Probe, Drain and Remove.
+// cancels or skips attempts, such as StartAttempt, CancelAttempt, Probe, Drain and Remove. They may call these methods and
+// CloseOldestIdle themselves.
 type Events interface {
 	AttemptEnded(id AttemptID, outcome Outcome)
 	ProbeEnded(serverID string, outcome Outcome)
 	// BeforeSend is called right before an attempt that times out at timeoutAt is written. It returns the time limit to send
-	// to the server, in milliseconds, and whether the attempt may be sent.
+	// to the server, in milliseconds, and whether the attempt may be sent. If it may, BeforeSend has called no method of Pool.
 	BeforeSend(id AttemptID, timeoutAt float64) (timeLimitMs int, ok bool)
 }
 
@@ -113,8 +114,8 @@
 }
 
 func (s *server) closeIdle(reason loop.Reason) {
-	for len(s.idle) > 0 {
-		s.idle[0].loopConn.Close(reason)
+	for _, c := range slices.Clone(s.idle) {
+		c.loopConn.Close(reason)
 	}
 }
 
@@ -159,12 +160,8 @@
 // ConnCount returns the number of connections, including those that are being opened.
 func (p *Pool) ConnCount() int { return p.conns.Len() }
 
-// dial opens a connection if MaxConns allows it. Otherwise waiting attempts use connections that become free.
+// dial opens a connection.
 func (p *Pool) dial(s *server) {
-	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldestIdle() {
-		p.log.Debug("connection limit reached", "server", s.id, "conns", p.conns.Len())
-		return
-	}
 	c := &conn{pool: p, server: s, addr: s.addr, input: pgwire.NewReader(pgwire.MaxMessageBytes),
 		parser: pgwire.NewStartupAnswer()}
 	c.ref = p.conns.Put(c)
@@ -189,11 +186,12 @@
 	})
 }
 
-// CloseOldestIdle closes the connection that has been idle for the longest time, and reports whether there was an idle one.
+// CloseOldestIdle closes the connection that has been idle for the longest time, and reports whether there was one. It leaves
+// out connections that an attempt is about to be sent on.
 func (p *Pool) CloseOldestIdle() bool {
 	var oldest *conn
 	p.conns.Each(func(_ slots.Ref, c *conn) {
-		if c.state == idle && (oldest == nil || c.idleSeq < oldest.idleSeq) {
+		if c.state == idle && (oldest == nil || c.idleSeq < oldest.idleSeq) && p.nextAttemptFor(c) == nil {
 			oldest = c
 		}
 	})
@@ -207,10 +205,19 @@
 // redialDelayMs is the delay, in milliseconds, before a dial that failed for lack of local resources is repeated.
 const redialDelayMs = 10
 
-// dialForWaiting opens a connection if more attempts wait than connections are being opened. It is called after a connection
-// that they might have used has closed.
+// dialForWaiting opens a connection if more attempts wait than connections are being opened and MaxConns allows it. Otherwise
+// the attempts use connections that become free. It is called when an attempt begins to wait, and after a connection that
+// attempts might have used has closed.
 func (p *Pool) dialForWaiting(s *server) {
-	if s.dialing < len(s.waiting) {
-		p.dial(s)
+	if n := len(s.idle); n > 0 && p.nextAttemptFor(s.idle[n-1]) != nil { // serveWaiting is about to use that connection
+		return
+	}
+	if s.dialing >= len(s.waiting) {
+		return
+	}
+	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldestIdle() {
+		p.log.Debug("connection limit reached", "server", s.id, "conns", p.conns.Len())
+		return
 	}
+	p.dial(s)
 }
