Pool: hold the connection limit where closing a connection dials again

A pooler could hold more connections to db servers than its descriptors allow. Cause: closing an idle connection to make room calls dialForWaiting for its server, which takes the room if an attempt waits there that the idle connection was too old for. The caller then dialled all the same, one over the limit each time. Change: the limit is checked again after each close, and no connection is dialled once enough are being opened. Result: TestConnLimitHoldsWhileRoomIsMade saw 2 connections at a limit of 1 before, and passes.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -212,12 +212,14 @@
 	if n := len(s.idle); n > 0 && p.nextAttemptFor(s.idle[n-1]) != nil { // serveWaiting is about to use that connection
 		return
 	}
-	if s.dialing >= len(s.waiting) {
-		return
+	// Closing a connection to make room may dial for attempts that wait at its server, which may be this one.
+	for s.dialing < len(s.waiting) && p.conns.Len() >= p.opt.MaxConns() {
+		if !p.CloseOldestIdle() {
+			p.log.Debug("connection limit reached", "server", s.id, "conns", p.conns.Len())
+			return
+		}
 	}
-	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldestIdle() {
-		p.log.Debug("connection limit reached", "server", s.id, "conns", p.conns.Len())
-		return
+	if s.dialing < len(s.waiting) {
+		p.dial(s)
 	}
-	p.dial(s)
 }
--- a/internal/backend/reentrancy_test.go
+++ b/internal/backend/reentrancy_test.go
@@ -165,3 +165,30 @@
 		})
 	}
 }
+
+// TestConnLimitHoldsWhileRoomIsMade guards against more connections than the limit allows. The connection that is closed to make
+// room for another may be one for whose server attempts wait, and the pool dials for them as soon as it is closed.
+func TestConnLimitHoldsWhileRoomIsMade(t *testing.T) {
+	server := listen(t)
+	opt := options()
+	opt.MaxConns = func() int { return 1 }
+	tp := newTestPool(t, make(outcomes, 9), opt)
+	tp.runOnLoop(func() {
+		tp.pool.SetAddress("s", server.Addr().String())
+		tp.start("s", 0)
+	})
+	serverConn := accept(t, server)
+	write(t, serverConn, pgwire.AppendStartupReply(nil))
+	if !readQuery(serverConn) {
+		t.Fatal("the query has not arrived")
+	}
+	write(t, serverConn, successfulAnswer())
+	tp.nextOutcome()
+	tp.runOnLoop(func() {
+		tp.pool.idleTimeout.limitMs = 0 // an attempt that must not take effect twice does not use the idle connection
+		tp.pool.StartAttempt("s", tp.events, tp.clk.Ms+9000, math.Inf(1), true, AttemptID{Number: 1})
+		if n := tp.pool.ConnCount(); n > 1 {
+			t.Errorf("%d connections, want at most 1", n)
+		}
+	})
+}
