Ask the router again before an attempt that has waited for a connection is sent

Cause: the choice of a server was final. A read given to a server as the group's primary has no send deadline, and nothing looked at it again while it waited for a connection: the router changed the role and left the attempts of that server where they were, and Core.BeforeSend asked for the client, the deadline and the invariants only. Also, an answer's connection was given to the next waiting attempt before the router had heard what the answer tells. Bounded and session reads and writes at a primary wait in the same way. Change: Router.AllowsSend decides by what is known at the send, and BeforeSend asks it; a refusal ends the attempt as skipped, and the router chooses again. When a group's primary changes, attempts that no longer suit the former one are withdrawn at once (CancelUnsent), unless they have been sent. Pool reports an outcome before it sends the next attempt on that connection. The counter `unsent` tells why attempts could not be sent, which the log could not tell apart before.

--- a/api.go
+++ b/api.go
@@ -3,7 +3,7 @@
 // goroutines. The embedding proxy feeds events to a Router and carries out its actions.
 //
 // This file defines the interface: settings, events and actions. The decisions are in router.go, those on the
-// health of servers in health.go.
+// health of servers in health.go, and those on attempts that are not sent yet in unsent.go.
 package beechgrade
 
 import "time"
@@ -241,15 +241,16 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota // start the next attempt of ID at Server, unless SendDeadline passes before it is sent
-	Cancel                      // stop waiting for attempt Attempt of ID
-	Refuse                      // final answer: a retry is harmless, best after Wait
-	Fail                        // final answer: the request may have had an effect
-	Probe                       // probe Server
-	SetTimer                    // deliver a Timer event with Tag at time At
-	Subscribe                   // subscribe to the server list
-	FetchList                   // fetch the full list once
-	Log                         // write Text to the log
+	Send         ActionKind = iota // start the next attempt of ID at Server, unless SendDeadline passes before it is sent
+	Cancel                         // stop waiting for attempt Attempt of ID
+	CancelUnsent                   // end attempt Attempt of ID as Skipped, unless it has been sent
+	Refuse                         // final answer: a retry is harmless, best after Wait
+	Fail                           // final answer: the request may have had an effect
+	Probe                          // probe Server
+	SetTimer                       // deliver a Timer event with Tag at time At
+	Subscribe                      // subscribe to the server list
+	FetchList                      // fetch the full list once
+	Log                            // write Text to the log
 )
 
 // Action is something that the embedding proxy has to do. Actions are carried out in order.
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -116,10 +116,11 @@
 			}
 		}
 		c.attempt, a.conn = nil, nil
-		// Free the connection before the outcome is reported: that call may start an attempt which uses it.
+		// Free the connection before the outcome is reported: that call may start an attempt which uses it. Attempts that
+		// wait for it are sent after the report, because the answer may tell that the server no longer suits them.
 		c.becomeIdle()
-		p.serveWaiting(c.server)
 		p.finish(a, o)
+		p.serveWaiting(c.server)
 		if cap(c.answer) > maxKeptBufferBytes {
 			c.answer = nil
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -213,8 +213,12 @@
 	case beechgrade.Send:
 		c.startAttempt(action)
 	case beechgrade.Cancel:
-		if req, ok := c.requests.Get(requestRef(action.ID)); ok && action.Attempt >= 0 && action.Attempt < len(req.attempts) {
-			c.servers.CancelAttempt(req.attempts[action.Attempt].ref)
+		if attempt := c.attemptOf(action); attempt != nil {
+			c.servers.CancelAttempt(attempt.ref)
+		}
+	case beechgrade.CancelUnsent:
+		if attempt := c.attemptOf(action); attempt != nil {
+			c.servers.CancelUnsentAttempt(attempt.ref)
 		}
 	case beechgrade.Refuse:
 		if req := c.finish(action); req != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -74,7 +74,7 @@
 	ready, ended := make(chan struct{}), make(chan error, 1)
 	tc.loop = loop.New(tc.clk, log, func() loop.Handler { return noClients{} }, func() { tc.core.Start(tc.pool, noDiscovery{}) })
 	tc.core = New(tc.loop, log, cfg)
-	tc.pool = backend.New(tc.loop, log, backend.Options{ConnectTimeoutMs: 20000, IdleTimeoutMs: 20000,
+	tc.pool = backend.New(tc.loop, log, backend.Options{Roles: [2]string{"primary", "replica"}, ConnectTimeoutMs: 20000, IdleTimeoutMs: 20000,
 		MaxConns: func() int { return 9 }, MemoryBytes: func() int { return 1 << 28 }}, tc.core)
 	tc.loop.OnReady = func() { close(ready) }
 	go func() { ended <- tc.loop.Run("127.0.0.1:0") }()
@@ -164,3 +164,61 @@
 		}
 	}
 }
+
+// TestWaitingReadIsNotSentToFormerPrimary guards against a stale answer to a fresh read. The read waits for a connection to the
+// primary while the answer to an earlier one tells that this server is a replica by now. It must not be sent to it, neither on
+// the connection of that answer nor on one that comes up later.
+func TestWaitingReadIsNotSentToFormerPrimary(t *testing.T) {
+	for name, closesAfterAnswer := range map[string]bool{"server keeps the connection": false, "server closes it": true} {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCore(t, func(c *config.Config) { c.Settings.Classes[0].Read = beechgrade.ReadFresh })
+			answers := make(answerLog, 9)
+			tc.runOnLoop(func() {
+				for _, id := range []string{"1", "2"} {
+					if _, err := tc.core.Submit(front.Request{ID: id, Class: "read", Deadline: tc.clk.Ms + 2000, Query: answers},
+						answers); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+			first, second := tc.accept(), tc.accept()
+			tc.send(first, pgwire.AppendStartupReply(nil))
+			if n, err := first.Read(make([]byte, 999)); n == 0 {
+				t.Fatalf("the first read was not sent: %v", err)
+			}
+			answer := pgwire.AppendParameter(pgwire.AppendRow(nil, "content", []byte("value")), "role", "replica")
+			tc.send(first, pgwire.AppendReady(pgwire.AppendComplete(answer, "SELECT 1")))
+			if closesAfterAnswer {
+				_ = first.Close()
+			}
+			if got := <-answers; got != "served" {
+				t.Fatalf("the first read was %s, want served", got)
+			}
+			tc.send(second, pgwire.AppendStartupReply(nil))
+			tc.closeAllConns()
+			for _, conn := range []net.Conn{first, second} {
+				if n, _ := io.Copy(io.Discard, conn); n > 0 {
+					t.Errorf("%d bytes were sent to a server that has told that it is a replica, want none", n)
+				}
+			}
+		})
+	}
+}
+
+// send writes data to a connection of the server.
+func (tc *testCore) send(conn net.Conn, data []byte) {
+	tc.t.Helper()
+	if _, err := conn.Write(data); err != nil {
+		tc.t.Fatal(err)
+	}
+}
+
+// closeAllConns waits until no connection to the server is in use, and closes them.
+func (tc *testCore) closeAllConns() {
+	for end, open := time.Now().Add(5*time.Second), 1; open > 0 && time.Now().Before(end); {
+		tc.runOnLoop(func() {
+			tc.pool.Drain("s-1")
+			open = tc.pool.ConnCount()
+		})
+	}
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -9,6 +9,7 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/front"
 	"beechgrade/internal/invariant"
+	"beechgrade/internal/metrics"
 	"beechgrade/internal/slots"
 )
 
@@ -45,30 +46,57 @@
 	result    beechgrade.Result
 }
 
-// BeforeSend implements backend.Events. It abandons a request whose client has disconnected, and allows an attempt only if no
-// invariant forbids it.
+// unsentReason is why an attempt may not be sent, as a key of metrics.Unsent. It is empty if the attempt may be sent.
+type unsentReason string
+
+const (
+	unsentClientGone     unsentReason = "client_gone"     // the client has disconnected
+	unsentDeadline       unsentReason = "deadline"        // the request's deadline has passed
+	unsentServerUnsuited unsentReason = "server_unsuited" // the server no longer suits the request
+	unsentInvariant      unsentReason = "invariant"       // an invariant forbids it
+)
+
+// BeforeSend implements backend.Events. It abandons a request whose client has disconnected, and allows an attempt only if its
+// server still suits the request and no invariant forbids it.
 func (c *Core) BeforeSend(id backend.AttemptID, timeoutAt float64) (timeLimitMs int, ok bool) {
 	req, ok := c.requests.Get(id.Request)
 	if !ok {
 		return 0, false
 	}
-	if !req.ended && !req.client.Connected() {
-		c.Abandon(id.Request, "peer, seen at the send")
+	timeLimitMs, reason := c.checkSend(req, id, timeoutAt)
+	if reason != "" {
+		c.loop.Metrics().Add(metrics.Unsent, string(reason))
+		if reason == unsentClientGone {
+			c.Abandon(id.Request, "peer, seen at the send")
+		}
 		return 0, false
 	}
+	return timeLimitMs, true
+}
+
+// checkSend returns the time limit of an attempt that is about to be sent, in milliseconds, or the reason why it may not be
+// sent.
+func (c *Core) checkSend(req *request, id backend.AttemptID, timeoutAt float64) (timeLimitMs int,
+	reason unsentReason) {
+	if !req.ended && !req.client.Connected() {
+		return 0, unsentClientGone
+	}
 	class, now := &c.cfg.Settings.Classes[req.class], c.loop.Now()
 	if now >= req.deadline { // the process may have been paused since the deadline was last checked
-		return 0, false
+		return 0, unsentDeadline
 	}
 	timeLimitMs = int(max(1, math.Floor(timeoutAt-now)))
 	if !c.guard.CheckSend(invariant.Attempt{ID: req.id, Effect: class.Effect, RequestEnded: req.ended,
 		InFlight: req.inFlight(), MayDuplicate: c.cfg.Settings.MayDuplicate, FirstRunAt: req.firstRunAt,
 		DedupWindowMs: clock.Milliseconds(class.DedupWindow), Now: now, Deadline: req.deadline,
 		TimeLimitMs: float64(timeLimitMs)}) {
-		return 0, false
+		return 0, unsentInvariant
+	}
+	if !c.router.AllowsSend(clock.Duration(now), requestID(id.Request), id.Number) {
+		return 0, unsentServerUnsuited
 	}
 	req.attempts[id.Number].sentAt = now
-	return timeLimitMs, true
+	return timeLimitMs, ""
 }
 
 // inFlight returns the number of attempts that were written and have not ended.
@@ -143,6 +171,15 @@
 	req.attempts[number].ref = attemptRef
 }
 
+// attemptOf returns the attempt that an action names, or nil if it is unknown or its request has been released.
+func (c *Core) attemptOf(action *beechgrade.Action) *attempt {
+	req, ok := c.requests.Get(requestRef(action.ID))
+	if !ok || action.Attempt < 0 || action.Attempt >= len(req.attempts) {
+		return nil
+	}
+	return &req.attempts[action.Attempt]
+}
+
 // requestID returns the ID by which the router knows the request in a slot. The IDs that clients choose could collide.
 func requestID(ref slots.Ref) beechgrade.RequestID {
 	var b [8]byte
--- a/router.go
+++ b/router.go
@@ -565,20 +565,6 @@
 	return true
 }
 
-// sendDeadline returns the time until which the request may be sent to the server. A connection may take long
-// to open. Meanwhile the server's data ages and part of the deduplication window passes, so a send that is
-// allowed now may be forbidden later.
-func (r *Router) sendDeadline(q *request, s *server) Time {
-	deadline := Time(math.MaxInt64)
-	if q.class.Read == ReadBounded && r.cfg.LagPolicy == LagServesStale && s != r.primary(q.group) {
-		deadline = s.position + q.class.StalenessBound
-	}
-	if q.possiblyRan && q.class.Effect == Deduplicated {
-		deadline = min(deadline, q.possiblyRanSent+q.class.DedupWindow-r.cfg.Tick)
-	}
-	return deadline
-}
-
 func (r *Router) onRequest(e *Request) {
 	if r.requests[e.ID] != nil {
 		return
@@ -779,7 +765,7 @@
 	case Misdirected:
 		r.recordAnswer(s, a)
 		if q.primaryOnly() && e.Report.Role != RolePrimary {
-			s.role, s.roleAt = RoleReplica, r.now
+			r.setRole(s, RoleReplica, r.now)
 		} else {
 			s.applyRate /= 2 // it lags further behind than estimated
 		}
@@ -854,7 +840,7 @@
 			s.coldSince = max(s.coldSince, entry.StartedAt)
 		}
 		if r.cfg.ListShowsRole && entry.Primary && s.role == RoleUnknown {
-			s.role, s.roleAt = RolePrimary, never+1
+			r.setRole(s, RolePrimary, never+1)
 		}
 		if entry.State == Removed { // a server that was draining stays so
 			s.removedAt = max(r.now, 1)
--- a/state.go
+++ b/state.go
@@ -1,6 +1,6 @@
 package beechgrade
 
-// This file holds the router's state and its bookkeeping. The decisions are in router.go and health.go.
+// This file holds the router's state and its bookkeeping. The decisions are in router.go, health.go and unsent.go.
 
 import (
 	"cmp"
@@ -393,7 +393,7 @@
 		s.position, s.positionAt = report.Position, r.now
 	}
 	if report.Role != RoleUnknown && at >= s.roleAt {
-		s.role, s.roleAt = report.Role, at
+		r.setRole(s, report.Role, at)
 	}
 	if report.HasInFlight {
 		r.advanceService(s)
