--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -68,13 +68,17 @@
 	}
 }
 
-// CancelUnsentAttempt cancels an attempt that still waits for a connection. One that has been sent stays in flight.
+// CancelUnsentAttempt cancels an attempt whose query has not been written completely, so that it cannot have run: it waits for
+// a connection or for the socket. One that has been sent stays in flight.
 func (p *Pool) CancelUnsentAttempt(ref slots.Ref) {
-	if a, ok := p.attempts.Get(ref); ok && a.conn == nil {
+	if a, ok := p.attempts.Get(ref); ok && a.unsent() {
 		p.abort(a, beechgrade.Skipped)
 	}
 }
 
+// unsent reports whether some byte of the attempt's query has not been written to the socket.
+func (a *attempt) unsent() bool { return a.conn == nil || a.conn.loopConn.UnsentBytes() > 0 }
+
 func (p *Pool) start(a *attempt) {
 	s := a.server
 	if s == nil {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -145,12 +145,12 @@
 	}
 	c.queryBuffered = true
 	if c.loopConn.UnsentBytes() > 0 && c.attempt == a {
-		c.timer = p.loop.At(p.loop.Now()+writeTimeoutMs, func() { c.writeTimedOut(a) })
+		c.timer = p.loop.At(min(c.writtenAt+writeTimeoutMs, a.sendDeadline), func() { c.writeTimedOut(a) })
 	}
 }
 
 // writeTimedOut ends an attempt whose query the socket has not accepted completely. The time limit in the query is out of
-// date by now, and a query without its last byte does not run.
+// date by now, or the send deadline has passed, and a query without its last byte does not run.
 func (c *conn) writeTimedOut(a *attempt) {
 	p := c.pool
 	if c.attempt != a || c.loopConn.UnsentBytes() == 0 {
--- a/internal/backend/send_test.go
+++ b/internal/backend/send_test.go
@@ -7,6 +7,7 @@
 
 	"beechgrade"
 	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
 )
 
 // sendGate receives outcomes, and allows or forbids the sending of attempts.
@@ -70,3 +71,34 @@
 		t.Errorf("%d bytes of %d arrived, want fewer", n, totalSize)
 	}
 }
+
+// TestHalfWrittenQueryIsWithdrawn guards against a query whose last byte is sent when it may no longer be: after its send
+// deadline, or after the router has withdrawn it. A query that the socket has accepted in part has not run yet.
+func TestHalfWrittenQueryIsWithdrawn(t *testing.T) {
+	const sendDeadlineMs = writeTimeoutMs / 2
+	for name, withdraw := range map[string]func(tp *testPool, ref slots.Ref){
+		"send deadline": func(tp *testPool, _ slots.Ref) { tp.clk.Ms += sendDeadlineMs },
+		"withdrawn":     func(tp *testPool, ref slots.Ref) { tp.pool.CancelUnsentAttempt(ref) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := listen(t)
+			tp := newTestPool(t, make(outcomes, 9), options())
+			var ref slots.Ref
+			tp.runOnLoop(func() {
+				tp.pool.SetAddress("s", server.Addr().String())
+				ref = tp.pool.StartAttempt("s", largeQuery{}, tp.clk.Ms+9000, tp.clk.Ms+sendDeadlineMs, true, AttemptID{})
+			})
+			serverConn := accept(t, server)
+			write(t, serverConn, pgwire.AppendStartupReply(nil))
+			tp.waitUntil(func() bool { return tp.pool.busyConn() != nil && tp.pool.busyConn().loopConn.UnsentBytes() > 0 })
+			tp.runOnLoop(func() { withdraw(tp, ref) })
+			if o := tp.nextOutcome(); o.Result != beechgrade.Skipped {
+				t.Errorf("result %v, want skipped", o.Result)
+			}
+			totalSize := len(largeQuery{}.AppendQuery(nil, 0))
+			if n, _ := io.Copy(io.Discard, serverConn); int(n) >= totalSize {
+				t.Errorf("%d bytes of %d arrived, want fewer", n, totalSize)
+			}
+		})
+	}
+}
