Router: admit requests that wait for a connection again after their server's restart

Cause: requests that were admitted while a server was warm may still wait for a connection to it when the list or its return tells that it has restarted. They were all sent to the cold server, past the budget of slow start. Change: an attempt remembers the start of its server that was known when it was chosen; AllowsSend refuses it if the server has restarted since and is cold, and the request passes slowStartAdmits again.

--- a/router.go
+++ b/router.go
@@ -552,7 +552,8 @@
 		return false // only the zone of the first attempt that may have run drops repeats
 	}
 	_, shareAfter := r.cost(s, q)
-	a := &attempt{req: q, server: s, number: len(q.attempts), sentAt: r.now, serviceAtSend: s.service}
+	a := &attempt{req: q, server: s, number: len(q.attempts), sentAt: r.now, serviceAtSend: s.service,
+		coldSince: s.coldSince}
 	a.ownInFlight = len(s.inFlight) - s.presumedLost + 1
 	r.addAttempt(s, a)
 	s.frozenShare, s.frozenUntil = shareAfter, r.now+shareFreeze
--- a/state.go
+++ b/state.go
@@ -126,6 +126,7 @@
 	number        int
 	sentAt        Time
 	serviceAtSend float64 // the server's virtual service at the send
+	coldSince     Time    // the server's coldSince when it was chosen
 	ownInFlight   int     // this router's requests in flight at the server at the send, including this one
 	ended         bool
 	retried       bool // a duplicate was sent or the attempt cancelled, as its server was down or it was presumed lost
--- a/unsent.go
+++ b/unsent.go
@@ -37,6 +37,9 @@
 	if !s.allowedByList() {
 		return false
 	}
+	if s.coldSince != a.coldSince && r.capacityFraction(s) < 1 {
+		return false // it has restarted, and slowStartAdmits has not admitted the request
+	}
 	if q.primaryOnly() {
 		return s == r.primary(q.group)
 	}
--- a/unsent_test.go
+++ b/unsent_test.go
@@ -108,6 +108,22 @@
 	}
 }
 
+// TestUnsentAttemptIsAdmittedAgainAfterRestart guards against an overload of a cold server: requests that were
+// admitted while it was warm may still wait for a connection to it when the list tells that it has restarted.
+func TestUnsentAttemptIsAdmittedAgainAfterRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		age  time.Duration // of the start that the list tells
+		want bool
+	}{"just now": {0, false}, "some time ago": {5 * time.Second, false}, "long ago": {10 * time.Second, true}} {
+		h := newLaggingHarness(t, nil)
+		h.submitToPrimary("1", classWrite)
+		h.handle(&List{Kind: ListChanges, Entries: []Entry{{Server: "p", Weight: 1, StartedAt: h.now - c.age}}})
+		if got := h.allowsSend("1"); got != c.want {
+			t.Errorf("started %s: allowed %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // TestUnsentAttemptFollowsList guards against a send to a server that the list excludes by now, and against a
 // panic for an attempt that the router does not know.
 func TestUnsentAttemptFollowsList(t *testing.T) {
