--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"slices"
 
-	"beechgrade"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
@@ -129,10 +128,10 @@
 }
 
 // skipWaiting ends the attempts that wait for a connection to a server. It iterates over a copy because the calls that
-// report them may add further attempts.
+// report them may add, end and send attempts.
 func (p *Pool) skipWaiting(s *server) {
 	for _, a := range slices.Clone(s.waiting) {
-		p.abort(a, beechgrade.Skipped)
+		p.CancelUnsentAttempt(a.ref)
 	}
 }
 
