Pool: report the role that an incomplete answer has told

Cause: an answer tells the server's role and position before it is complete. If its attempt was cancelled, ran out of time or stalled then, both were dropped; they were reported only if the connection closed. The router went on to take the server for the primary. Change: every end of an attempt that was sent reports what was received, except after a protocol error. Result: TestIncompleteAnswerTellsRole failed in three of its five cases before (cancelled, timed out, stalled) and passes.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -41,6 +41,7 @@
 func (c *conn) handleProtocolError(err error) {
 	c.pool.log.Warn("protocol violation by server", "server", c.server.id, "err", err)
 	if c.attempt != nil {
+		c.outcome = Outcome{} // what such an answer tells cannot be trusted
 		c.pool.abort(c.attempt, beechgrade.Failed)
 		return
 	}
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -175,7 +175,7 @@
 		// in flight.
 		c.attempt, a.conn = nil, nil
 		c.loopConn.Close(closeAttemptAborted)
-		p.finish(a, Outcome{Result: r})
+		p.finish(a, c.incompleteOutcome(r))
 		return
 	}
 	p.removeWaiting(a)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -178,6 +178,45 @@
 	}
 }
 
+// TestIncompleteAnswerTellsRole guards against reads that are sent to a former primary: its answer tells that it is a replica
+// before it is complete, and the attempt may end before the rest arrives. What an answer with a protocol error tells does not
+// count.
+func TestIncompleteAnswerTellsRole(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(tp *testPool, ref slots.Ref, serverConn net.Conn)
+		want beechgrade.Role
+	}{
+		"cancelled": {func(tp *testPool, ref slots.Ref, _ net.Conn) { tp.pool.CancelAttempt(ref) }, beechgrade.RoleReplica},
+		"timed out": {func(tp *testPool, _ slots.Ref, _ net.Conn) { tp.clk.Ms += 9000 }, beechgrade.RoleReplica},
+		"stalled":   {func(tp *testPool, _ slots.Ref, _ net.Conn) { tp.clk.Ms += stallTimeoutMs }, beechgrade.RoleReplica},
+		"closed":    {func(_ *testPool, _ slots.Ref, serverConn net.Conn) { _ = serverConn.Close() }, beechgrade.RoleReplica},
+		"protocol error": {func(_ *testPool, _ slots.Ref, serverConn net.Conn) { _, _ = serverConn.Write([]byte("noise")) },
+			beechgrade.RoleUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, opt := listen(t), options()
+			opt.Roles = [2]string{"primary", "replica"}
+			tp := newTestPool(t, make(outcomes, 9), opt)
+			var ref slots.Ref
+			tp.runOnLoop(func() {
+				tp.pool.SetAddress("s", server.Addr().String())
+				ref = tp.pool.StartAttempt("s", tp.events, tp.clk.Ms+9000, math.Inf(1), false, AttemptID{})
+			})
+			serverConn := accept(t, server)
+			write(t, serverConn, pgwire.AppendStartupReply(nil))
+			if _, err := serverConn.Read(make([]byte, 99)); err != nil { // the query
+				t.Fatal(err)
+			}
+			write(t, serverConn, pgwire.AppendParameter(nil, "role", "replica"))
+			tp.waitUntil(func() bool { return tp.pool.busyConn().outcome.Role == beechgrade.RoleReplica })
+			tp.runOnLoop(func() { c.end(tp, ref, serverConn) })
+			if o := tp.nextOutcome(); o.Role != c.want {
+				t.Errorf("result %v, role %v, want %v", o.Result, o.Role, c.want)
+			}
+		})
+	}
+}
+
 // largeQuery is a query that is larger than any socket buffer.
 type largeQuery struct{}
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -232,11 +232,17 @@
 		if c.parser.ErrorCode == "53300" || c.parser.ErrorCode == "57P03" {
 			r = beechgrade.Overloaded
 		}
-		p.finish(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPosition: c.outcome.HasPosition})
+		p.finish(a, c.incompleteOutcome(r))
 	}
 	p.dialForWaiting(c.server)
 }
 
+// incompleteOutcome returns the outcome of an attempt whose answer is not complete: the result r, and what the part that was
+// received tells about the server.
+func (c *conn) incompleteOutcome(r beechgrade.Result) Outcome {
+	return Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPosition: c.outcome.HasPosition}
+}
+
 // startupFailed ends a connection that was closed during its startup. A server that has too many connections sends an error
 // first, which ends the attempt that has waited longest as overloaded.
 func (c *conn) startupFailed() {
