Hold an unsent attempt to the deduplication window of its duplicate

Cause: the send deadline of an attempt is set when it is chosen. If its server is found down while it waits for a connection and a duplicate is sent to another server, the window that the duplicate begins did not bind the first attempt: it could be sent for as long as a connection may take (250 ms), where windows of 100 ms exist. The guard counted only attempts that had ended, so it let this pass. Change: AllowsSend refuses an attempt of a request that has another one and may not be repeated any more; the guard's first run includes attempts in flight.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,9 +166,6 @@
 	attempt := &req.attempts[id.Number]
 	attempt.endedAt, attempt.waitedMs, attempt.result = c.loop.Now(), outcome.WaitedMs, outcome.Result
 	c.loop.Metrics().Add(metrics.Attempts, outcome.Result.String())
-	if attempt.sentAt > 0 && mayHaveRun(outcome.Result) && (req.firstRunAt == 0 || attempt.sentAt < req.firstRunAt) {
-		req.firstRunAt = attempt.sentAt
-	}
 	if outcome.Result == beechgrade.OK && !req.ended && c.guard.CheckAnswer(req.id, req.answered) {
 		req.ended, req.answered = true, true
 		req.client.Served(outcome.Answer)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -25,8 +25,7 @@
 	openAttempts int       // started attempts that have not ended
 	ended        bool      // it has its final answer, or was abandoned
 
-	answered   bool    // it has its final answer
-	firstRunAt float64 // when the first attempt that may have run was written, 0 if there is none
+	answered bool // it has its final answer
 
 	// recordEnd logs these fields.
 	class, group int
@@ -87,7 +86,7 @@
 	}
 	timeLimitMs = int(max(1, math.Floor(timeoutAt-now)))
 	if !c.guard.CheckSend(invariant.Attempt{ID: req.id, Effect: class.Effect, RequestEnded: req.ended,
-		InFlight: req.inFlight(), MayDuplicate: c.cfg.Settings.MayDuplicate, FirstRunAt: req.firstRunAt,
+		InFlight: req.inFlight(), MayDuplicate: c.cfg.Settings.MayDuplicate, FirstRunAt: req.firstRunAt(),
 		DedupWindowMs: clock.Milliseconds(class.DedupWindow), Now: now, Deadline: req.deadline,
 		TimeLimitMs: float64(timeLimitMs)}) {
 		return 0, unsentInvariant
@@ -110,6 +109,19 @@
 	return n
 }
 
+// firstRunAt returns when the first attempt that may have run was written, or 0 if there is none. One that is in flight may
+// have run.
+func (req *request) firstRunAt() float64 {
+	first := 0.0
+	for i := range req.attempts {
+		a := &req.attempts[i]
+		if a.sentAt > 0 && (a.endedAt == 0 || mayHaveRun(a.result)) && (first == 0 || a.sentAt < first) {
+			first = a.sentAt
+		}
+	}
+	return first
+}
+
 // mayHaveRun reports whether an attempt that was written and ended with r may have had an effect.
 func mayHaveRun(r beechgrade.Result) bool {
 	switch r {
--- a/router.go
+++ b/router.go
@@ -526,12 +526,16 @@
 	return r.now < q.awaitProbesUntil
 }
 
-// attemptsExhausted reports whether a request must not be sent again. Once it may have run, an unsafe request
-// must never be repeated, and a deduplicated one only within its window.
+// attemptsExhausted reports whether a request must not be sent again.
 func (r *Router) attemptsExhausted(q *request) bool {
-	return len(q.attempts) >= r.cfg.MaxAttempts || q.inFlight > 0 && !r.cfg.MayDuplicate ||
-		q.possiblyRan && (q.class.Effect == Unsafe ||
-			q.class.Effect == Deduplicated && r.now+r.cfg.Tick >= q.possiblyRanSent+q.class.DedupWindow)
+	return len(q.attempts) >= r.cfg.MaxAttempts || q.inFlight > 0 && !r.cfg.MayDuplicate || r.repeatForbidden(q)
+}
+
+// repeatForbidden reports whether a request may have run and must not run again: an unsafe request never, and
+// a deduplicated one only within its window.
+func (r *Router) repeatForbidden(q *request) bool {
+	return q.possiblyRan && (q.class.Effect == Unsafe ||
+		q.class.Effect == Deduplicated && r.now+r.cfg.Tick >= q.possiblyRanSent+q.class.DedupWindow)
 }
 
 func (q *request) notePossiblyRan(a *attempt, s *server) {
--- a/unsent.go
+++ b/unsent.go
@@ -40,6 +40,9 @@
 	if s.coldSince != a.coldSince && r.capacityFraction(s) < 1 {
 		return false // it has restarted, and slowStartAdmits has not admitted the request
 	}
+	if len(q.attempts) > 1 && r.repeatForbidden(q) {
+		return false // another attempt may have run, which did not bind this one when it was chosen
+	}
 	if q.primaryOnly() {
 		return s == r.primary(q.group)
 	}
--- a/unsent_test.go
+++ b/unsent_test.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// TestUnsentAttemptKeepsToDedupWindow guards against a repeat after the deduplication window: an attempt waits
+// for a connection to a server that is found down meanwhile, a duplicate is sent to another server, and then
+// the connection comes up after all.
+func TestUnsentAttemptKeepsToDedupWindow(t *testing.T) {
+	const window = 100 * ms
+	for _, c := range []struct {
+		duplicate bool
+		wait      time.Duration // until the connection is up
+		want      bool
+	}{{true, 50 * ms, true}, {true, window, false}, {false, window, true}} {
+		h := newGroupHarness(t, func(cfg *Settings) {
+			cfg.Classes[classAny].Effect, cfg.Classes[classAny].DedupWindow = Deduplicated, window
+			cfg.MayDuplicate = c.duplicate
+			cfg.MayCancel = false
+		})
+		first := ofKind(Send, h.submit("1", classAny))
+		if len(first) != 1 {
+			t.Fatalf("sends %+v, want one", first)
+		}
+		h.r.markDown(h.r.servers[first[0].Server])
+		if sent := len(ofKind(Send, h.advance(20*ms))) == 1; sent != c.duplicate {
+			t.Fatalf("duplicate sent: %v, want %v", sent, c.duplicate)
+		}
+		h.now = start + c.wait
+		if got := h.allowsSend("1"); got != c.want {
+			t.Errorf("%+v: the first attempt may be sent: %v", c, got)
+		}
+	}
+}
+
 // TestUnsentAttemptFollowsList guards against a send to a server that the list excludes by now, and against a
 // panic for an attempt that the router does not know.
 func TestUnsentAttemptFollowsList(t *testing.T) {
