Emulator: end overlapping limits on a pooler's descriptors when the last one ends

Cause: two limits on the descriptors of p2 overlap (12.50 s for 0.9 s, 12.61 s for 1.9 s). The second one took the first one's limit for the original and restored that at its end. p2 kept a limit of 24 with 31 descriptors open up to its exit (read from /proc at 19 s), closed idle clients to accept others, and was not recorded as impaired any more. Change: overlapping limits are counted, and the original limit is restored when the last one ends.

--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -31,6 +31,7 @@
 	disc        *Discovery
 	ledger      *Ledger
 	rng         *rand.Rand
+	descriptors descriptorFaults
 
 	mu         sync.Mutex
 	endpoint   *endpoint
@@ -284,9 +285,41 @@
 		return
 	}
 	p.ledger.MarkImpaired(p.Name, d)
+	p.descriptors.begin(pid, old)
 	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit - 1, Max: old.Max}, nil)
 	time.Sleep(d)
-	_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &old, nil)
+	p.descriptors.end(pid)
+}
+
+// descriptorFaults counts the overlapping limits on the descriptors of one process. The limit that the process had before the
+// first of them is restored when the last one ends.
+type descriptorFaults struct {
+	mu       sync.Mutex
+	pid      int
+	active   int
+	original unix.Rlimit
+}
+
+// begin records that another limit begins for a process whose present one is given.
+func (f *descriptorFaults) begin(pid int, present unix.Rlimit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pid != pid || f.active == 0 {
+		f.pid, f.active, f.original = pid, 0, present
+	}
+	f.active++
+}
+
+// end records that a limit of a process ends. It does nothing for a process that has been replaced by another one.
+func (f *descriptorFaults) end(pid int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.pid != pid {
+		return
+	}
+	if f.active--; f.active == 0 {
+		_ = unix.Prlimit(pid, unix.RLIMIT_NOFILE, &f.original, nil)
+	}
 }
 
 // pause stops the process for the duration d.
