Emulator: wait for the first limit in the test of overlapping ones

Cause: the test waited 100 ms for each limit, which a loaded machine may miss. Change: it begins the second limit once the first is in effect, and both last longer; the check after both is the same.

--- a/internal/emulator/process_test.go
+++ b/internal/emulator/process_test.go
@@ -29,13 +29,13 @@
 	p := &Process{Name: "p0", cmd: cmd, state: stateUp, ledger: NewLedger()}
 	before := limit()
 	var faults sync.WaitGroup
-	for _, d := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond} {
-		faults.Go(func() { p.limitDescriptors(0, d) })
-		time.Sleep(100 * time.Millisecond)
-		if limit().Cur >= before.Cur {
-			t.Error("the limit is not in effect")
+	faults.Go(func() { p.limitDescriptors(0, 500*time.Millisecond) })
+	for end := time.Now().Add(20 * time.Second); limit().Cur >= before.Cur; {
+		if time.Now().After(end) {
+			t.Fatal("the limit is not in effect")
 		}
 	}
+	faults.Go(func() { p.limitDescriptors(0, time.Second) })
 	faults.Wait()
 	if after := limit(); after != before {
 		t.Errorf("limit %+v after both faults, want %+v as before", after, before)
