Emulator: say when overlapping attempts arrived and ended

Change: the text of the violation has the attempts' times; what is judged stays as it is. Result: tests of the package pass.

--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -328,8 +328,8 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if earlier.ended.IsZero() || earlier.ended.After(later.arrived.Add(timingTolerance)) {
-			l.addViolation(RuleOverlap, "%s of %s at %s: in flight at %s and %s", request.ID, request.Class.Name, request.Pooler,
-				earlier.server, later.server)
+			l.addViolation(RuleOverlap, "%s of %s at %s: in flight at %s and %s; %s", request.ID, request.Class.Name, request.Pooler,
+				earlier.server, later.server, request.describeAttempts(l.began))
 		}
 	})
 }
