--- a/router.go
+++ b/router.go
@@ -528,7 +528,8 @@
 
 // attemptsExhausted reports whether a request must not be sent again.
 func (r *Router) attemptsExhausted(q *request) bool {
-	return len(q.attempts) >= r.cfg.MaxAttempts || q.inFlight > 0 && !r.cfg.MayDuplicate || r.repeatForbidden(q)
+	return len(q.attempts) >= r.cfg.MaxAttempts || q.inFlight > 0 && !r.cfg.MayDuplicate ||
+		r.repeatForbidden(q)
 }
 
 // repeatForbidden reports whether a request may have run and must not run again: an unsafe request never, and
