--- a/review/second/stand/pooler.go
+++ b/review/second/stand/pooler.go
@@ -136,19 +136,18 @@
 }
 
 // ResidentKB returns the resident memory of the pooler: the present and the highest, in kB.
-func (p *Pooler) ResidentKB() (now, peak int) {
+func (p *Pooler) ResidentKB() (now, peak int) { return p.statusKB("VmRSS:"), p.statusKB("VmHWM:") }
+
+// AnonymousKB returns the part of the pooler's present resident memory that belongs to no file, in kB.
+func (p *Pooler) AnonymousKB() int { return p.statusKB("RssAnon:") }
+
+func (p *Pooler) statusKB(name string) int {
 	b, _ := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/status")
 	for _, l := range strings.Split(string(b), "\n") {
-		f := strings.Fields(l)
-		if len(f) < 2 {
-			continue
-		}
-		switch f[0] {
-		case "VmRSS:":
-			now, _ = strconv.Atoi(f[1])
-		case "VmHWM:":
-			peak, _ = strconv.Atoi(f[1])
+		if f := strings.Fields(l); len(f) >= 2 && f[0] == name {
+			kb, _ := strconv.Atoi(f[1])
+			return kb
 		}
 	}
-	return now, peak
+	return 0
 }
