Keep the second review's cases inside the limits when the machine is late

Change: hold-ups of 147 ms, measured, and not counted over 0.15 s; nine of ten sessions new; only requests count that were whole in time. The program is unchanged.

--- a/review/second/gone/main.go
+++ b/review/second/gone/main.go
@@ -14,7 +14,8 @@
 const (
 	rounds   = 5
 	clients  = 40                     // under a third of 256 descriptors
-	hold     = 149 * time.Millisecond // the pages allow 0.15 s
+	hold     = 147 * time.Millisecond // the pages allow 0.15 s
+	allowed  = 150 * time.Millisecond // the longest hold-up of the pages
 	valueLen = 64 << 10               // the largest value of the protocol page
 	// limit is the 0.1 s of the page and the 50 ms by which time limits are longer on sockets.
 	limit = 150 * time.Millisecond
@@ -29,24 +30,18 @@
 	}
 	var mu sync.Mutex
 	closed := map[string]time.Time{}
-	over100, over150 := 0, 0
-	var worst time.Duration
-	g, err := stand.StartGroup(c.Record, discovery, 2, 5*time.Millisecond, func(q stand.Query) {
+	reached := map[int][]time.Duration{} // by round: how long after its client's close each request reached a db server
+	_, err := stand.StartGroup(c.Record, discovery, 2, 5*time.Millisecond, func(q stand.Query) {
 		mu.Lock()
 		defer mu.Unlock()
 		at, ok := closed[q.ID]
 		if !ok {
 			return
 		}
-		after := q.Received.Sub(at)
+		after, round := q.Received.Sub(at), 0
 		c.Record.Line("id=%s reached a db server %v after its client had closed", q.ID, after)
-		worst = max(worst, after)
-		if after > 100*time.Millisecond {
-			over100++
-		}
-		if after > limit {
-			over150++
-		}
+		_, _ = fmt.Sscanf(q.ID, "write%d-", &round)
+		reached[round] = append(reached[round], after)
 	})
 	if err != nil {
 		return "", err
@@ -63,6 +58,7 @@
 		return "", err
 	}
 	var wg sync.WaitGroup
+	held := [rounds]time.Duration{}
 	for round := range rounds {
 		var conns []*stand.Client
 		var messages [][]byte
@@ -94,7 +90,8 @@
 			wg.Add(1)
 			time.AfterFunc(hold, func() {
 				_ = p.Signal(syscall.SIGCONT)
-				c.Record.Line("the pooler goes on after %v", time.Since(start))
+				held[round] = time.Since(start)
+				c.Record.Line("the pooler goes on after %v", held[round])
 				wg.Done()
 			})
 		}
@@ -116,12 +113,30 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	ran := 0
-	for id := range closed {
-		ran += g.Ran(id)
+	counted, ran, over100, over150 := 0, 0, 0, 0
+	var worst time.Duration
+	for round := range rounds {
+		if held[round] > allowed { // the machine was late
+			c.Record.Say("round %d is not counted: the pooler was held up for %v", round, held[round])
+			continue
+		}
+		counted++
+		for _, after := range reached[round] {
+			ran++
+			worst = max(worst, after)
+			if after > 100*time.Millisecond {
+				over100++
+			}
+			if after > limit {
+				over150++
+			}
+		}
+	}
+	c.Record.Say("of %d writes whose clients had left: %d reached a db server after the close, %d over 0.1 s and %d over 0.15 s after it; the last %v after it",
+		counted*clients, ran, over100, over150, worst)
+	if counted == 0 {
+		return "", fmt.Errorf("the pooler was held up for over %v in each round", allowed)
 	}
-	c.Record.Say("of %d writes whose clients had left: %d reached a db server, %d over 0.1 s and %d over 0.15 s after the close; the last %v after it",
-		rounds*clients, ran, over100, over150, worst)
 	if over150 > 0 {
 		return fmt.Sprintf("lost: %d attempts began more than %v after their clients had closed", over150, limit), nil
 	}
--- a/review/second/memory/main.go
+++ b/review/second/memory/main.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,9 +14,10 @@
 
 const (
 	clients  = 44                     // under a third of 256 descriptors
-	hold     = 149 * time.Millisecond // the pages allow 0.15 s
+	hold     = 147 * time.Millisecond // the pages allow 0.15 s
 	valueLen = 64 << 10               // the largest value of the protocol page
 	memoryMB = 32                     // the least memory of the terms page
+	allowed  = 150 * time.Millisecond // the longest hold-up of the pages
 )
 
 func main() { stand.Main(60*time.Second, run) }
@@ -59,19 +61,28 @@
 	c.Record.Say("before: the pooler has %d of %d kB", now, memoryMB<<10)
 
 	start := time.Now()
+	var tooLong atomic.Bool
+	resumed := make(chan time.Time, 1)
 	if c.Trouble {
 		if err := p.Signal(syscall.SIGSTOP); err != nil {
 			return "", err
 		}
 		c.Record.Line("the pooler is stopped")
 		time.AfterFunc(hold, func() {
+			before := time.Now()
 			_ = p.Signal(syscall.SIGCONT)
-			c.Record.Line("the pooler goes on after %v", time.Since(start))
+			held := time.Since(start)
+			c.Record.Line("the pooler goes on after %v", held)
+			tooLong.Store(held > allowed)
+			resumed <- before
 		})
+	} else {
+		resumed <- time.Time{}
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	lost, served, refused, failed, unsent := 0, 0, 0, 0, 0
+	var unanswered []time.Time // when the last byte of each request without an answer was written
+	served, refused, failed, unsent := 0, 0, 0, 0
 	for i, k := range conns {
 		wg.Add(1)
 		go func() {
@@ -79,9 +90,10 @@
 			id := fmt.Sprintf("write%d", i)
 			message := stand.AppendQuery(nil, stand.Insert(fmt.Sprintf("key%d", i), bytes.Repeat([]byte{byte(i)}, valueLen), id, "submit",
 				2*time.Second, 0))
-			// The requests are spread over the 0.15 s, in both runs: 293 requests a second.
+			// The requests are spread over the 0.15 s, in both runs: 299 requests a second.
 			time.Sleep(time.Until(start.Add(time.Duration(i) * hold / clients)))
 			_, err := k.Conn.Write(message)
+			written := time.Now()
 			c.Record.Line("client %d wrote id=%s to its last byte: %v", i, id, err)
 			_ = k.Conn.SetReadDeadline(time.Now().Add(4 * time.Second))
 			a := k.Read()
@@ -92,7 +104,7 @@
 			case err != nil:
 				unsent++
 			case a.Lost():
-				lost++
+				unanswered = append(unanswered, written)
 			case a.Code == "53300" || a.Code == "57P03":
 				refused++
 			case a.Code != "":
@@ -103,9 +115,19 @@
 		}()
 	}
 	wg.Wait()
+	// With the disruption, only requests count whose last byte was written while the pooler still stood: it had taken them.
+	lost, goesOn := 0, <-resumed
+	for _, at := range unanswered {
+		if !c.Trouble || at.Before(goesOn) {
+			lost++
+		}
+	}
 	_, peak := p.ResidentKB()
 	c.Record.Say("of %d writes: served %d, refused %d, failed %d, not sent whole %d, no answer %d; the pooler had at most %d kB", clients,
 		served, refused, failed, unsent, lost, peak)
+	if tooLong.Load() {
+		return "", fmt.Errorf("the pooler was held up for over %v", allowed)
+	}
 	if ended, err := p.Ended(); ended {
 		return fmt.Sprintf("the pooler has ended: %v", err), nil
 	}
--- a/review/second/sessions/main.go
+++ b/review/second/sessions/main.go
@@ -17,7 +17,7 @@
 	perSecond = 300              // requests; the terms page says 200 to 320
 	clients   = 40               // under a third of 256 descriptors
 	length    = 75 * time.Second // at most
-	fewKeys   = 100              // sessions without the disruption
+	fewKeys   = 100              // sessions that come back
 )
 
 func main() { stand.Main(110*time.Second, run) }
@@ -42,7 +42,7 @@
 	if err := p.Ready(10 * time.Second); err != nil {
 		return "", err
 	}
-	// Each session writes once and reads once. With the disruption all sessions are new, without it a few come back.
+	// Each session writes once and reads once. With the disruption nine of ten sessions are new, without it none is.
 	start := time.Now()
 	var over atomic.Bool // the platform has killed the pooler
 	var next, served, other atomic.Int64
@@ -62,6 +62,8 @@
 				session := n
 				if !c.Trouble {
 					session = n % fewKeys
+				} else if n%10 == 0 {
+					session = n / 10 % fewKeys
 				}
 				key := fmt.Sprintf("%016x", session)
 				key = strings.Repeat(key, keyLen/len(key))
