Front: stop reading from a client that is far ahead of its answers

Cause: the front processes 16 commands of a client at a time but went on reading, and ended the session once over 512 KiB waited in its memory. That drops whole commands. The loop could not stop reading from a connection.

Change: loop.Conn.SetReadLimit bounds what one read returns; with 0 the rest stays in the socket and the system holds the client back. The front uses it while a client's commands wait and 512 KiB of them are read. What is read after such a pause counts as having arrived when the pause began.

--- a/cmd/beechgrade/end_to_end_test.go
+++ b/cmd/beechgrade/end_to_end_test.go
@@ -300,6 +300,33 @@
 	client.wantAnswer("E$ 08P01")
 }
 
+// TestLargePipelineIsAnswered guards against commands that were read ahead of the answers and then dropped unanswered: a client
+// sends 24 writes of 128 KiB each at once, which is more than the pooler reads ahead.
+func TestLargePipelineIsAnswered(t *testing.T) {
+	const writes = 24
+	addr, queries := startServer(t)
+	poolerAddr, _, _ := start(t, addr, nil)
+	client := connect(t, poolerAddr)
+	var input []byte
+	for n := range writes {
+		input = append(input, pgwire.AppendQuery(nil, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('k', '\\x%s')"+
+			" RETURNING content /* id=%d,c=write,d=19000,cluster=0 */", strings.Repeat("00", 64<<10), n))...)
+	}
+	go client.send(input)
+	go func() {
+		for q := range queries {
+			if _, fields, ok := strings.Cut(q.sql, "id="); ok {
+				id, _, _ := strings.Cut(fields, ",")
+				time.Sleep(5 * time.Millisecond) // the commands arrive faster than they are answered
+				q.send(row(id))
+			}
+		}
+	}()
+	for n := range writes {
+		client.wantAnswer(fmt.Sprint("TDCZ ", n))
+	}
+}
+
 // TestResetWriteIsNotRetried tests that a write whose connection to the server breaks after its last byte was sent is not sent
 // again, because it may have run. The client must receive one error, with a code that does not ask it to retry.
 func TestResetWriteIsNotRetried(t *testing.T) {
--- a/internal/front/client_limits.go
+++ b/internal/front/client_limits.go
@@ -105,9 +105,10 @@
 	return stateBusy
 }
 
-// updateState moves the session to the list of its current state.
+// updateState moves the session to the list of its current state and updates what is read from its client.
 func (s *session) updateState() {
 	s.updateHeldBytes()
+	s.updateReadLimit()
 	p, state := s.front, s.currentState()
 	if s.listElement != nil && (s.closed || state != s.state) {
 		p.sessionsByState[s.state].Remove(s.listElement)
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -17,7 +17,9 @@
 const (
 	// maxMessageBytes is the maximum length of a client's message: twice the length of a 64 KiB value in hex.
 	maxMessageBytes = 1 << 18
-	// maxReadAheadBytes is the maximum number of unprocessed bytes from a client.
+	// maxReadBytes is the largest number of bytes that are read from a client at once.
+	maxReadBytes = 1 << 16
+	// maxReadAheadBytes is the number of unprocessed bytes at which reading from a client stops while its commands wait.
 	maxReadAheadBytes = 1 << 19
 	// maxQueuedCommands is the number of unanswered commands that are accepted from one client.
 	maxQueuedCommands = 16
@@ -191,19 +193,37 @@
 	s.reader.Feed(b)
 	s.arrivals.add(len(b), arrivedAt)
 	s.processCommands()
-	if !s.closed && s.reader.Buffered() > maxReadAheadBytes {
-		s.fatal(codeProtocol, "too much sent ahead of the answers")
-	}
 	s.front.enforceMemoryLimit()
 }
 
+// commandsWait reports whether further commands of the client have to wait: too many are unanswered, or the client does not
+// read its answers.
+func (s *session) commandsWait() bool {
+	return len(s.commands) >= maxQueuedCommands || s.started && s.conn.UnsentBytes() > maxUnsentBytes
+}
+
+// updateReadLimit stops reading from a client that is far ahead of its answers, so that the rest waits in the socket and the
+// client is held back. A command that was read could only be dropped if there were no room for it.
+func (s *session) updateReadLimit() {
+	if s.closed || s.conn == nil {
+		return
+	}
+	if !s.ended && s.commandsWait() && s.reader.Buffered() >= maxReadAheadBytes {
+		s.conn.SetReadLimit(0)
+		return
+	}
+	s.conn.SetReadLimit(maxReadBytes)
+}
+
 // processCommands processes the commands that have been received. A command does not wait for the answers to earlier commands,
 // but its own answer does.
 func (s *session) processCommands() {
 	defer s.updateState()
-	for !s.closed && !s.ended && len(s.commands) < maxQueuedCommands {
-		if s.started && s.conn.UnsentBytes() > maxUnsentBytes {
-			s.processAfter(unsentRecheckMs) // the client does not read its answers
+	for !s.closed && !s.ended {
+		if s.commandsWait() {
+			if len(s.commands) < maxQueuedCommands { // otherwise the next answer calls processCommands
+				s.processAfter(unsentRecheckMs)
+			}
 			return
 		}
 		more, err := s.processCommand()
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -47,6 +47,8 @@
 	registered        bool    // the descriptor is registered with the poller
 	interest          uint32  // the events for which it is registered
 	readPaused        bool    // a read has failed; the next one waits for retryTimer
+	readLimit         int     // largest number of bytes that one read returns, 0 while the handler takes no input
+	readStoppedAtMs   float64 // when readLimit last became 0
 	writePaused       bool    // a write has failed; the next one waits for retryTimer
 	transientReadErr  error   // the last transient read error since the last read that returned data
 	earliestArrivalMs float64 // earliest time at which the bytes read next may have arrived, 0 for now
@@ -58,7 +60,7 @@
 
 func (l *Loop) newConn(fd int, handler Handler) *Conn {
 	l.lastConnID++
-	c := &Conn{loop: l, fd: fd, handler: handler, id: l.lastConnID}
+	c := &Conn{loop: l, fd: fd, handler: handler, id: l.lastConnID, readLimit: readBufferSize}
 	c.ref = l.conns.Put(c)
 	return c
 }
@@ -134,16 +136,37 @@
 	}
 }
 
+// SetReadLimit sets the largest number of bytes that one read returns, which readBufferSize bounds as well. With 0, nothing is
+// read until the limit is raised: what the peer sends stays in the socket, so that the system holds the peer back.
+func (c *Conn) SetReadLimit(n int) {
+	n = min(n, readBufferSize)
+	if n == c.readLimit || c.state != stateOpen {
+		return
+	}
+	switch {
+	case n == 0:
+		c.readStoppedAtMs = c.loop.Now()
+	case c.readLimit == 0 && c.earliestArrivalMs == 0:
+		c.earliestArrivalMs = c.readStoppedAtMs
+	}
+	c.readLimit = n
+	c.updateInterest()
+}
+
+// readable reports whether the connection may be read now.
+func (c *Conn) readable() bool { return c.state == stateOpen && !c.readPaused && c.readLimit > 0 }
+
 // receive reads once and passes the data, or the end of the connection, to the handler.
 func (c *Conn) receive() {
 	for interruptions := 0; ; interruptions++ {
-		n, err := c.loop.kernel.read(c.fd, c.loop.readBuffer)
+		buf := c.loop.readBuffer[:c.readLimit]
+		n, err := c.loop.kernel.read(c.fd, buf)
 		switch {
 		case err == nil && n > 0:
 			c.transientReadErr = nil
 			c.resetBackoff()
-			c.handler.Data(c.loop.readBuffer[:n])
-			if n < len(c.loop.readBuffer) {
+			c.handler.Data(buf[:n])
+			if n < len(buf) { // the socket was empty
 				c.earliestArrivalMs = 0
 			}
 			return
@@ -215,7 +238,7 @@
 	if c.state == stateOpen {
 		c.flush()
 	}
-	if c.state == stateOpen && !c.readPaused {
+	if c.readable() {
 		c.receive()
 	}
 	if c.state <= stateOpen {
@@ -232,7 +255,7 @@
 	if events&unix.EPOLLOUT != 0 {
 		c.flush()
 	}
-	if c.state == stateOpen && events&^unix.EPOLLOUT != 0 && !c.readPaused {
+	if events&^unix.EPOLLOUT != 0 && c.readable() {
 		c.receive()
 	}
 	if c.state == stateOpen {
@@ -247,7 +270,7 @@
 	if c.state == stateConnecting || c.UnsentBytes() > 0 && !c.writePaused {
 		events |= unix.EPOLLOUT
 	}
-	if c.state == stateOpen && !c.readPaused {
+	if c.readable() {
 		events |= unix.EPOLLIN
 	}
 	if c.registered && events == c.interest {
@@ -269,7 +292,7 @@
 }
 
 // EarliestArrival returns the earliest time in milliseconds at which the bytes passed to Data may have arrived. It lies in the
-// past if reads or accepts have failed since then.
+// past if reads or accepts have failed since then, or if the read limit was 0.
 func (c *Conn) EarliestArrival() float64 {
 	if c.earliestArrivalMs == 0 {
 		return c.loop.Now()
