Loop: end a client's connection as soon as its close has arrived, read or not

Cause: the loop saw a close only by reading up to the end of the stream, and PeerClosed skipped the question to the socket if the poll before the last one was recent. A request of over 64 KiB takes several reads, so its end of stream still lay unread when the shortcut was taken again.

Change: accepted connections are polled for EPOLLRDHUP and end on it, also behind unread input. PeerClosed always asks the socket (one poll for each attempt); PollOverdue and its times are removed.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,7 +25,7 @@
 	Served(answer []byte)    // valid during the call
 	Refused(retryMs float64) // a retry is safe; the client should wait for retryMs, unless that is 0
 	Failed()                 // the request may or may not have had an effect
-	Connected() bool         // reports whether the client is still connected; queries the socket if the loop may be behind
+	Connected() bool         // reports whether the client is still connected, as its socket tells at this moment
 }
 
 // RequestHandler accepts requests. Submit may answer the client before it returns; the returned Ref is
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -40,6 +40,7 @@
 	handler     Handler
 	id          uint64 // identifies the connection in the log
 	state       connState
+	accepted    bool   // it was accepted, not dialled: it ends as soon as the peer has closed it
 	closeReason Reason // set if this side has closed the connection
 
 	sendBuffer        []byte  // written bytes that the socket has not accepted yet, from sendOffset on
@@ -170,11 +171,8 @@
 				c.earliestArrivalMs = 0
 			}
 			return
-		case err == nil && c.transientReadErr != nil: // the transient error was the cause of the end
-			c.finish(c.transientReadErr)
-			return
 		case err == nil:
-			c.finish(io.EOF)
+			c.endOfStream()
 			return
 		}
 		switch action := ioActionFor(err); {
@@ -201,6 +199,15 @@
 	}
 }
 
+// endOfStream ends the connection after the peer has closed it. If the last read failed, that error was the cause of the end.
+func (c *Conn) endOfStream() {
+	if c.transientReadErr != nil {
+		c.finish(c.transientReadErr)
+		return
+	}
+	c.finish(io.EOF)
+}
+
 // resetBackoff ends the series of failures after a call that succeeded, unless reading or writing is still paused.
 func (c *Conn) resetBackoff() {
 	if !c.readPaused && !c.writePaused {
@@ -252,6 +259,10 @@
 		c.completeDial(true)
 		return
 	}
+	if c.accepted && events&peerClosedEvents != 0 {
+		c.endOfStream() // unread input does not matter: nothing is forwarded for a client that has left
+		return
+	}
 	if events&unix.EPOLLOUT != 0 {
 		c.flush()
 	}
@@ -263,6 +274,10 @@
 	}
 }
 
+// peerClosedEvents are the events of epoll and poll which show that the peer has closed the connection, or that it has broken.
+// They are reported even if the end of the stream lies behind input that has not been read.
+const peerClosedEvents = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+
 // updateInterest registers with the poller the events that the connection waits for. If that fails, it schedules retries, which
 // read and write without the poller.
 func (c *Conn) updateInterest() {
@@ -273,6 +288,9 @@
 	if c.readable() {
 		events |= unix.EPOLLIN
 	}
+	if c.accepted {
+		events |= unix.EPOLLRDHUP
+	}
 	if c.registered && events == c.interest {
 		return
 	}
@@ -300,26 +318,22 @@
 	return c.earliestArrivalMs
 }
 
-// PeerClosed reports whether the peer has closed the connection, or the connection has broken. It queries the socket if the loop
-// may not have noticed yet, because it has not polled in time or because reads fail.
+// PeerClosed reports whether the peer has closed the connection, or the connection has broken. It asks the socket, because the
+// loop may not have noticed yet: it may have been held up, reads may fail, and the end of the stream may have arrived after the
+// last poll, right behind a request that has waited for long on its way.
 func (c *Conn) PeerClosed() bool {
 	if c.state != stateOpen {
 		return true
 	}
-	if c.earliestArrivalMs == 0 && !c.loop.PollOverdue() {
-		return false
-	}
-	var b [1]byte
-	n, _, err := c.loop.kernel.recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if err != nil {
-		return ioActionFor(err) == connectionEnded
-	}
-	if n == 0 {
-		return true
+	for range immediateTries {
+		pollFDs := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+		n, err := c.loop.kernel.poll(pollFDs, 0)
+		if err == nil {
+			return n > 0 && pollFDs[0].Revents&peerClosedEvents != 0
+		}
+		c.loop.recordFailure("poll", err)
 	}
-	pollFDs := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}} // detects an end of stream that follows unread data
-	n, err = c.loop.kernel.poll(pollFDs, 0)
-	return err == nil && n > 0 && pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return false
 }
 
 // UnsentBytes returns the number of written bytes that the socket has not accepted yet.
--- a/internal/loop/errno.go
+++ b/internal/loop/errno.go
@@ -37,6 +37,8 @@
 //	setsockopt            any                                     continue without the option          TestDialFails
 //	recvfrom (peek)       EINTR, ENOBUFS, ENOMEM                  try three times, then NoPendingInput TestNoPendingInputInterrupted
 //	                                                              returns false
+//	poll                  any                                     try three times, then PeerClosed     TestPeerClosedBehindUnreadInput
+//	                                                              returns false
 //	shutdown              any                                     return the error to the caller,      -
 //	                                                              which closes the connection
 //	close                 any                                     ignore: Linux has freed the          -
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -188,7 +188,7 @@
 func (l *Loop) addAccepted(fd int, earliestArrivalMs float64) {
 	l.metrics.Add(metrics.Connections, "accepted")
 	c := l.newConn(fd, l.newHandler())
-	c.state, c.earliestArrivalMs = stateOpen, earliestArrivalMs
+	c.state, c.accepted, c.earliestArrivalMs = stateOpen, true, earliestArrivalMs
 	c.updateInterest()
 	c.handler.Opened(c)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -62,9 +62,6 @@
 	lastLoggedMs map[string]float64 // by call and errno: time of the last log line about that failure
 	shuttingDown bool
 
-	lastPollMs     float64 // time of the last poll that returned all pending events, or that failed
-	previousPollMs float64 // time of the poll before that one; its events have all been handled
-
 	mu          sync.Mutex
 	posted      []func()
 	wakePending bool // no further wake-up is needed: one is pending, or the loop takes the posted functions before it polls
@@ -86,8 +83,6 @@
 		return err
 	}
 	defer l.closePoller()
-	l.lastPollMs = l.Now()
-	l.previousPollMs = l.lastPollMs
 	l.onStart()
 	if l.OnReady != nil {
 		l.OnReady()
@@ -100,9 +95,6 @@
 			continue
 		}
 		l.pollBackoff.reset()
-		if len(events) < maxEventsPerWait {
-			l.previousPollMs, l.lastPollMs = l.lastPollMs, l.Now()
-		}
 		for i := range events {
 			l.handleEvent(&events[i])
 			l.runPending()
@@ -159,7 +151,6 @@
 		return
 	}
 	l.recordFailure("epoll_wait", err)
-	l.previousPollMs, l.lastPollMs = l.lastPollMs, l.Now()
 	time.Sleep(clock.Duration(min(pauseMs, maxPollRetryPauseMs)))
 	l.listener.acceptPending(l)
 	l.conns.Each(func(_ slots.Ref, c *Conn) {
@@ -254,14 +245,6 @@
 // AcceptPaused reports whether accepting is paused after a failure, so that clients may be waiting in the queue.
 func (l *Loop) AcceptPaused() bool { return l.listener.paused }
 
-// pollOverdueMs is the time in milliseconds without a complete poll after which the loop may have missed that a client has closed
-// its connection. It must be below 100 ms: no attempt may begin for a client that disconnected that long ago.
-const pollOverdueMs = 50
-
-// PollOverdue reports whether the loop was paused or idle for so long that a client may have closed its connection unnoticed. It
-// counts from the poll before the last one, because events of the last one may not have been handled yet.
-func (l *Loop) PollOverdue() bool { return l.Now()-l.previousPollMs > pollOverdueMs }
-
 // Now returns the time in milliseconds.
 func (l *Loop) Now() float64 { return l.clk.Now() }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"testing"
@@ -57,6 +58,55 @@
 	}
 }
 
+// unreadHandler is a Handler that never reads and reports the error passed to Closed.
+type unreadHandler struct {
+	openedHandler
+	closed chan error
+}
+
+func (h unreadHandler) Closed(err error) { h.closed <- err }
+
+// TestPeerClosedBehindUnreadInput guards against attempts for clients that have left: a client sends input and closes its
+// connection, while the loop does not poll or the input is not read. PeerClosed must report the close at once, also if poll is
+// interrupted twice, and the connection must end although the end of the stream lies behind unread input.
+func TestPeerClosedBehindUnreadInput(t *testing.T) {
+	interrupted := injectError(0, unix.EINTR)
+	tl := runLoop(t, func(k *kernel) {
+		k.poll = func(fds []unix.PollFd, ms int) (int, error) {
+			if err := interrupted.nextError(); err != nil {
+				return 0, err
+			}
+			return unix.Poll(fds, ms)
+		}
+	})
+	handler := unreadHandler{openedHandler{make(chan *Conn, 1)}, make(chan error, 1)}
+	tl.runOnLoop(func() { tl.newHandler = func() Handler { return handler } })
+	client := tl.dialClient()
+	c := <-handler.opened
+	before, after := false, false
+	tl.runOnLoop(func() { // the loop does not poll while this function runs
+		c.SetReadLimit(0)
+		before = c.PeerClosed()
+		_, _ = client.Write(make([]byte, 1<<10))
+		_ = client.Close()
+		for end := time.Now().Add(testTimeout); !after && time.Now().Before(end); {
+			interrupted.remaining.Store(2)
+			after = c.PeerClosed()
+		}
+	})
+	if before || !after {
+		t.Errorf("PeerClosed before and after the close: %v, %v; want false, true", before, after)
+	}
+	select {
+	case err := <-handler.closed:
+		if err != io.EOF {
+			t.Errorf("the connection ended with %v, want EOF", err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the connection has not ended")
+	}
+}
+
 // TestAddressInUse tests that listenOn fails if another socket listens on the address, and succeeds if only connections in
 // TIME_WAIT are left. The first client must be accepted by the socket that listenOn returns: a separate check whether the address
 // is free would accept and reset it.
