Front: limit commands that need no server, so that other clients are answered in time

Cause: a pass over all connections handled whatever one read of 64 KiB held, up to 10,900 commands with a write each, and accepted one connection. Six such clients made a pass take over 100 ms, and a new client needs three passes.

Change: commands answered without a server are limited for each session (100 a second, burst 256) beyond a shared 2,000 a second; a session over the limit is not read until it may go on. Answers of one turn are written together. A pass accepts up to 16 connections. A third encryption request is a protocol error. Protocol errors beyond 100 a second are held back for up to 0.5 s. Error texts are cut at 512 bytes.

Why it works: what a client can make the loop do in one turn is bounded, and no command is dropped: the rest stays in memory or in the socket and is answered in order, also during a drain.

--- a/cmd/beechgrade/process_test.go
+++ b/cmd/beechgrade/process_test.go
@@ -96,6 +96,24 @@
 	return nil
 }
 
+// memoryLimitKB returns the memory limit in the configuration file, in KiB.
+func (p *process) memoryLimitKB() int {
+	p.t.Helper()
+	b, err := os.ReadFile(p.config)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var tree struct {
+		Limits struct {
+			MemoryMB int `json:"memory_mb"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(b, &tree); err != nil {
+		p.t.Fatal(err)
+	}
+	return tree.Limits.MemoryMB << 10
+}
+
 // writeConfig writes the configuration that configJSON returns to the configuration file.
 func (p *process) writeConfig(server, discovery string) {
 	p.t.Helper()
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/list"
+	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"strings"
 
 	"beechgrade/internal/clock"
@@ -27,6 +29,12 @@
 	maxUnsentBytes = 1 << 16
 	// unsentRecheckMs is the time until the unsent bytes of such a client are checked again, in milliseconds.
 	unsentRecheckMs = 20
+	// maxEncryptionRequests is the number of encryption requests that a client may send: one for TLS and one for GSSAPI.
+	maxEncryptionRequests = 2
+	// maxBatchBytes is the size above which a batch of messages is written before all commands are processed.
+	maxBatchBytes = 1 << 14
+	// maxErrorBytes is the maximum length of an error's text, which may quote what the client has sent.
+	maxErrorBytes = 512
 	// maxKeptBufferBytes is the capacity up to which a session keeps its buffer from one answer to the next.
 	maxKeptBufferBytes = 1 << 14
 )
@@ -54,17 +62,24 @@
 	heldBytes        int  // unprocessed input, queued commands and answers, and unsent bytes of all clients
 	openRequestBytes int  // the part of heldBytes that belongs to requests without an answer
 	rejected         int  // clients rejected since the last sweep
+	sharedAnswers    limiter
+	protocolErrors   limiter
+	batching         *session // the session whose commands are being processed
+	batch            []byte   // messages to that session, which are written together
 }
 
 // NewPostgres returns a front end that passes requests to handler. The guard checks that no connection is closed with requests
 // unanswered.
 func NewPostgres(l *loop.Loop, log *slog.Logger, handler RequestHandler, guard *invariant.Guard, budget Budget) *Postgres {
-	return &Postgres{loop: l, log: log, handler: handler, guard: guard, budget: budget}
+	return &Postgres{loop: l, log: log, handler: handler, guard: guard, budget: budget,
+		sharedAnswers:  newLimiter(l, sharedAnswersPerSecond, sharedAnswersBurst),
+		protocolErrors: newLimiter(l, protocolErrorsPerSecond, protocolErrorsBurst)}
 }
 
 // NewHandler returns the handler of a new connection.
 func (p *Postgres) NewHandler() loop.Handler {
-	s := &session{front: p, reader: pgwire.NewReader(maxMessageBytes), stateSince: p.loop.Now()}
+	s := &session{front: p, reader: pgwire.NewReader(maxMessageBytes), stateSince: p.loop.Now(),
+		answers: newLimiter(p.loop, answersPerSecond, answersBurst)}
 	s.ref = p.sessions.Put(s)
 	return s
 }
@@ -73,11 +88,11 @@
 func (p *Postgres) SessionCount() int { return p.sessions.Len() }
 
 // HasPendingWork reports whether a client waits for an answer, has not read all of an answer, or has sent input that has not
-// been read yet and may be a request.
+// been read or processed yet and may be a request.
 func (p *Postgres) HasPendingWork() bool {
 	pending := false
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		pending = pending || len(s.commands) > 0 || s.conn != nil &&
+		pending = pending || len(s.commands) > 0 || s.wait == throttled && s.reader.Buffered() > 0 || s.conn != nil &&
 			(s.conn.UnsentBytes() > 0 || !s.ended && !s.conn.NoPendingInput())
 	})
 	return pending
@@ -126,6 +141,9 @@
 	halfClosed       bool // the final message is sent and the sending direction is closed
 	closed           bool
 	processTimer     *deadline.Timer // calls processCommands
+	wait             wait            // why received commands are not processed yet
+	answers          limiter         // the session's own share of commands that are answered without a server
+	encryptionAsked  int             // number of encryption requests
 	buf              []byte          // reused to build messages
 	stateSince       float64         // when the client connected, started up, was answered, began a message or was half-closed
 	sendStalledSince float64         // since when there have been unsent bytes at each sweep, 0 if there are none
@@ -172,7 +190,7 @@
 	}
 	if !s.front.admit(s) {
 		// After manyClientsIdleMs, idle clients can be evicted.
-		s.fatalWithRetry(codeRefused, "too many clients", min(manyClientsIdleMs, s.front.budget.MaxRetryAfterMs))
+		s.turnAway(min(manyClientsIdleMs, s.front.budget.MaxRetryAfterMs))
 	}
 	s.updateState()
 }
@@ -196,47 +214,96 @@
 	s.front.enforceMemoryLimit()
 }
 
-// commandsWait reports whether further commands of the client have to wait: too many are unanswered, or the client does not
-// read its answers.
-func (s *session) commandsWait() bool {
-	return len(s.commands) >= maxQueuedCommands || s.started && s.conn.UnsentBytes() > maxUnsentBytes
+// wait is why received commands of a client are not processed yet.
+type wait int
+
+const (
+	noWait     wait = iota
+	queueFull       // too many commands are unanswered; the next answer calls processCommands
+	unreadFull      // the client does not read its answers
+	throttled       // the client has been sent too many answers that need no server
+)
+
+// recheckMs returns the time in milliseconds after which processCommands is called again, or 0 if it is not.
+func (w wait) recheckMs() float64 {
+	switch w {
+	case unreadFull:
+		return unsentRecheckMs
+	case throttled:
+		return throttleRecheckMs
+	}
+	return 0
 }
 
-// updateReadLimit stops reading from a client that is far ahead of its answers, so that the rest waits in the socket and the
-// client is held back. A command that was read could only be dropped if there were no room for it.
-func (s *session) updateReadLimit() {
-	if s.closed || s.conn == nil {
-		return
+// readAheadBytes returns the number of unprocessed bytes at which reading stops during the wait.
+func (w wait) readAheadBytes() int {
+	switch w {
+	case noWait:
+		return math.MaxInt
+	case throttled:
+		return 1
 	}
-	if !s.ended && s.commandsWait() && s.reader.Buffered() >= maxReadAheadBytes {
+	return maxReadAheadBytes
+}
+
+// currentWait returns why the next command has to wait.
+func (s *session) currentWait() wait {
+	switch {
+	case len(s.commands) >= maxQueuedCommands:
+		return queueFull
+	case s.started && s.conn.UnsentBytes() > maxUnsentBytes:
+		return unreadFull
+	case !s.mayAnswer():
+		return throttled
+	}
+	return noWait
+}
+
+// updateReadLimit stops reading from a client whose commands wait and which is far ahead of its answers, so that the rest waits
+// in the socket and the client is held back. A command that was read could only be dropped if there were no room for it.
+func (s *session) updateReadLimit() {
+	switch {
+	case s.closed || s.conn == nil:
+	case s.ended && !s.halfClosed: // no more commands are accepted, and the final message is not sent yet
 		s.conn.SetReadLimit(0)
-		return
+	case !s.ended && s.reader.Buffered() >= s.wait.readAheadBytes():
+		s.conn.SetReadLimit(0)
+	default:
+		s.conn.SetReadLimit(maxReadBytes)
 	}
-	s.conn.SetReadLimit(maxReadBytes)
 }
 
-// processCommands processes the commands that have been received. A command does not wait for the answers to earlier commands,
-// but its own answer does.
+// processCommands processes the commands that have been received and writes the answers to those that need no server. A command
+// does not wait for the answers to earlier commands, but its own answer does.
 func (s *session) processCommands() {
 	defer s.updateState()
+	s.front.batching = s
+	s.processReceived()
+	s.flush()
+	if s.front.draining && s.started && s.idle() && s.conn.NoPendingInput() {
+		s.close(closeDrain)
+	}
+}
+
+// processReceived processes received commands until they have to wait or none is complete.
+func (s *session) processReceived() {
 	for !s.closed && !s.ended {
-		if s.commandsWait() {
-			if len(s.commands) < maxQueuedCommands { // otherwise the next answer calls processCommands
-				s.processAfter(unsentRecheckMs)
+		if s.wait = s.currentWait(); s.wait != noWait {
+			if recheckMs := s.wait.recheckMs(); recheckMs > 0 {
+				s.processAfter(recheckMs)
 			}
 			return
 		}
-		more, err := s.processCommand()
-		if err != nil {
+		result, err := s.processCommand()
+		switch {
+		case err != nil:
 			s.fatal(codeProtocol, err.Error())
 			return
+		case result == commandIncomplete:
+			return
+		case result == commandAnswered:
+			s.countAnswer()
 		}
-		if !more {
-			break
-		}
-	}
-	if s.front.draining && s.started && s.idle() && s.conn.NoPendingInput() {
-		s.close(closeDrain)
 	}
 }
 
@@ -247,29 +314,38 @@
 	s.processTimer = l.At(l.Now()+ms, s.processCommands)
 }
 
-// processCommand processes the next message, and returns false if there is no complete one.
-func (s *session) processCommand() (more bool, err error) {
+// commandResult is the result of processing the next message.
+type commandResult int
+
+const (
+	commandIncomplete commandResult = iota // the message has not been received completely
+	commandForwarded                       // the command waits for a server
+	commandAnswered                        // the command needs no server
+)
+
+// processCommand processes the next message.
+func (s *session) processCommand() (commandResult, error) {
 	if !s.started {
 		return s.processStartup()
 	}
 	// The type is checked as soon as its byte is there: input that is no message may never become complete.
 	if typ, ok := s.reader.NextType(); ok && !strings.ContainsRune("QXSPBDECHF", rune(typ)) {
-		return false, fmt.Errorf("%w: type %q", pgwire.ErrMalformed, typ)
+		return commandIncomplete, fmt.Errorf("%w: type %q", pgwire.ErrMalformed, typ)
 	}
 	message, ok, err := s.reader.Next()
 	if err != nil || !ok {
-		return false, err
+		return commandIncomplete, err
 	}
 	arrivedAt := s.arrivals.consume(len(message.Raw))
 	switch message.Type {
 	case 'Q':
 		sql, err := pgwire.ParseText(message.Body)
 		if err != nil {
-			return false, err
+			return commandIncomplete, err
 		}
-		s.processQuery(sql, arrivedAt)
+		return s.processQuery(sql, arrivedAt), nil
 	case 'X':
-		s.end(nil)
+		s.stopAccepting().respond(nil)
 	case 'S': // Sync
 		s.skipUntilSync = false
 		s.respond(pgwire.AppendReady(s.buf[:0]))
@@ -284,20 +360,25 @@
 		}
 		s.respond(s.buf)
 	}
-	return true, nil
+	return commandAnswered, nil
 }
 
-// processStartup processes a startup message, an encryption request or a cancel request, and returns false if there is no
-// complete one.
-func (s *session) processStartup() (bool, error) {
+// errEncryptionRefused reports that a client asks for encryption although it has been told that there is none.
+var errEncryptionRefused = errors.New("encryption is not supported")
+
+// processStartup processes a startup message, an encryption request or a cancel request.
+func (s *session) processStartup() (commandResult, error) {
 	buffered := s.reader.Buffered()
 	kind, ok, err := s.reader.Startup()
 	if err != nil || !ok {
-		return false, err
+		return commandIncomplete, err
 	}
 	s.arrivals.consume(buffered - s.reader.Buffered())
 	switch kind {
 	case pgwire.StartupEncrypt:
+		if s.encryptionAsked++; s.encryptionAsked > maxEncryptionRequests {
+			return commandIncomplete, errEncryptionRefused
+		}
 		s.send([]byte{'N'})
 	case pgwire.StartupCancel:
 		s.close(closeCancel)
@@ -305,24 +386,24 @@
 		s.started, s.stateSince = true, s.front.loop.Now()
 		s.send(pgwire.AppendStartupReply(s.buf[:0]))
 	}
-	return true, nil
+	return commandAnswered, nil
 }
 
 // processQuery processes one statement, whose last byte arrived at the given time.
-func (s *session) processQuery(sql string, arrivedAt float64) {
+func (s *session) processQuery(sql string, arrivedAt float64) commandResult {
 	keyword, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
 	switch strings.ToUpper(keyword) {
 	case "":
 		s.respond(pgwire.AppendReady(pgwire.AppendEmpty(s.buf[:0])))
-		return
+		return commandAnswered
 	case "SET", "RESET", "DISCARD": // these have no effect, as on the servers
 		s.respond(pgwire.AppendReady(pgwire.AppendComplete(s.buf[:0], strings.ToUpper(keyword))))
-		return
+		return commandAnswered
 	}
 	stmt, err := pgwire.ParseStatement(sql)
 	if err != nil {
 		s.respondError(codeSyntax, err)
-		return
+		return commandAnswered
 	}
 	request := Request{ID: stmt.ID, Class: stmt.Class, IsWrite: stmt.IsWrite, Group: stmt.Group, Session: stmt.SessionKey,
 		Deadline: arrivedAt + stmt.TimeoutMs, Retry: stmt.Retry, Query: &stmt}
@@ -333,57 +414,109 @@
 	cmd.open = true
 	if s.updateHeldBytes(); s.front.openRequestsExceedMemory() {
 		cmd.Refused(min(manyClientsIdleMs, s.front.budget.MaxRetryAfterMs))
-		return
+		return commandAnswered
 	}
 	ref, err := s.front.handler.Submit(request, cmd)
 	switch {
 	case err != nil:
 		cmd.open = false
-		cmd.respond(pgwire.AppendReady(pgwire.AppendError(s.buf[:0], "ERROR", codeSyntax, err.Error(), "")))
+		cmd.respond(s.errorResponse(codeSyntax, err))
 	case s.closed: // during Submit, before abandonRequests could know ref
 		s.front.handler.Abandon(ref, s.conn.CloseReason())
 	case cmd.open:
 		cmd.ref = ref
 	}
 	s.hasRequested = s.hasRequested || err == nil
+	if cmd.responded {
+		return commandAnswered
+	}
+	return commandForwarded
 }
 
-// send writes a message to the client. Its memory becomes the session's buffer unless it is larger than maxKeptBufferBytes.
+// send writes a message to the client, or adds it to the batch while the session's commands are processed. Its memory becomes
+// the session's buffer unless it is larger than maxKeptBufferBytes.
 func (s *session) send(message []byte) {
 	if s.buf = message; cap(message) > maxKeptBufferBytes {
 		s.buf = nil
 	}
-	if !s.closed && len(message) > 0 {
+	switch {
+	case s.closed || len(message) == 0:
+	case s.front.batching == s:
+		if s.front.batch = append(s.front.batch, message...); len(s.front.batch) > maxBatchBytes {
+			s.writeBatch()
+		}
+	default:
 		_ = s.conn.Write(message) // a failed write closes the connection
 	}
 }
 
+// flush ends the batch of messages and writes it.
+func (s *session) flush() {
+	if s.front.batching != s {
+		return
+	}
+	s.front.batching = nil
+	s.writeBatch()
+}
+
+// writeBatch writes the messages in the batch.
+func (s *session) writeBatch() {
+	batch := s.front.batch
+	s.front.batch = batch[:0]
+	if !s.closed && len(batch) > 0 {
+		_ = s.conn.Write(batch) // a failed write closes the connection
+	}
+}
+
 // respond answers a command that is not a request.
-func (s *session) respond(response []byte) { s.enqueue(0).respond(response) }
+func (s *session) respond(response []byte) {
+	if len(s.commands) > 0 {
+		s.enqueue(0).respond(response)
+		return
+	}
+	s.send(response)
+	s.restartIdleTime()
+}
 
 // respondError answers a command that is not accepted as a request with an error.
 func (s *session) respondError(code string, err error) {
-	s.respond(pgwire.AppendReady(pgwire.AppendError(s.buf[:0], "ERROR", code, err.Error(), "")))
+	s.respond(s.errorResponse(code, err))
 }
 
-// fatal ends the session with an error message.
-func (s *session) fatal(code, text string) { s.fatalWithRetry(code, text, 0) }
+// errorResponse returns the answer to a command that is not accepted as a request. It uses the session's buffer.
+func (s *session) errorResponse(code string, err error) []byte {
+	text := err.Error()
+	return pgwire.AppendReady(pgwire.AppendError(s.buf[:0], "ERROR", code, text[:min(len(text), maxErrorBytes)], ""))
+}
 
-// fatalWithRetry is like fatal. Unless retryMs is 0, the error advises the client to reconnect after that time.
-func (s *session) fatalWithRetry(code, text string, retryMs float64) {
-	if !s.closed && !s.ended {
-		s.end(pgwire.AppendError(s.buf[:0], "FATAL", code, text, retryDetail(retryMs)))
+// fatal ends the session with an error message because the client has violated the protocol. The message is held back while
+// there are many such errors.
+func (s *session) fatal(code, text string) {
+	if s.closed || s.ended {
+		return
 	}
+	cmd := s.stopAccepting()
+	respond := func() { cmd.respond(pgwire.AppendError(s.buf[:0], "FATAL", code, text, "")) }
+	if delayMs := s.errorDelayMs(); delayMs > 0 {
+		s.front.loop.At(s.front.loop.Now()+delayMs, respond)
+		return
+	}
+	respond()
+}
+
+// turnAway ends the session of a client for which there is no room, and advises it to connect again after retryMs.
+func (s *session) turnAway(retryMs float64) {
+	s.stopAccepting().respond(pgwire.AppendError(s.buf[:0], "FATAL", codeRefused, "too many clients", retryDetail(retryMs)))
 }
 
-// end stops accepting commands. Once the accepted ones are answered, it sends finalMessage and ends the connection.
-func (s *session) end(finalMessage []byte) {
+// stopAccepting stops accepting commands. The connection ends after the response to the returned command.
+func (s *session) stopAccepting() *command {
 	s.ended = true
 	s.reader.Reset()
 	s.arrivals = arrivals{}
 	cmd := s.enqueue(0)
 	cmd.endsSession = true
-	cmd.respond(finalMessage)
+	return cmd
 }
 
 // Closed implements loop.Handler.
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -59,7 +59,6 @@
 	if s.closed {
 		return
 	}
-	s.stateSince = s.front.loop.Now()
 	if len(s.commands) == 0 {
 		s.commands = nil
 	}
@@ -67,7 +66,7 @@
 		s.processAfter(0) // in a call of its own, so that the caller finishes first
 	}
 	s.updateState()
-	s.front.sessionsByState[s.state].MoveToBack(s.listElement)
+	s.restartIdleTime()
 	s.front.enforceActiveLimit()
 }
 
@@ -99,10 +98,19 @@
 		"the request failed; it may have had an effect", "")))
 }
 
+// restartIdleTime restarts the time for which the session has been in its state, after an answer.
+func (s *session) restartIdleTime() {
+	s.stateSince = s.front.loop.Now()
+	if s.listElement != nil {
+		s.front.sessionsByState[s.state].MoveToBack(s.listElement)
+	}
+}
+
 // halfClose closes the sending direction of a connection whose final message was written, and gives the client
 // halfClosedTimeoutMs to close the other one. Closing a connection with unread input would reset it, and the reset may overtake
 // the message.
 func (s *session) halfClose() {
+	s.flush()
 	if s.closed || s.halfClosed {
 		return
 	}
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -94,14 +94,18 @@
 	return ""
 }
 
-// acceptPending accepts one connection; the poller reports the remaining ones again. After a failure it accepts until the queue
-// is empty: connections accepted until then may have arrived as early as the first failure, those accepted later cannot.
+// maxAcceptsPerPoll is the number of connections that are accepted between two polls.
+const maxAcceptsPerPoll = 16
+
+// acceptPending accepts up to maxAcceptsPerPoll connections; the poller reports the remaining ones again. After a failure it
+// accepts until the queue is empty: connections accepted until then may have arrived as early as the first failure, those
+// accepted later cannot.
 func (ln *listener) acceptPending(l *Loop) {
-	for failures := 0; !ln.paused && !ln.closed; {
+	for accepted, failures := 0, 0; !ln.paused && !ln.closed; {
 		fd, _, err := l.kernel.accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == nil {
 			l.addAccepted(fd, ln.backoff.firstFailureMs)
-			if ln.backoff.firstFailureMs == 0 {
+			if accepted++; accepted >= maxAcceptsPerPoll && ln.backoff.firstFailureMs == 0 {
 				return
 			}
 			continue
