Front: bound the memory for clients before it is taken, not by closing connections

Cause: the limit on what is held for clients was enforced by closing whoever held most, and a request that is read in part counts as held. Answers that wait for earlier ones were not checked at all, and buffers were counted by content.

Change: an incomplete message of over 4 KiB is kept only if all of it has room; else it is discarded as it comes and refused once complete. While memory is scarce, less is read and each client has one command open. An answer that must wait and has no room becomes a refusal or a failure. Buffers count by their size, empty ones are released, complete messages are not copied, and one read takes an answer with the largest value. Only clients that do not read are closed.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -13,7 +13,7 @@
 func (c *conn) updateAnswerBytes() {
 	n := 0
 	if c.state == busy && c.attempt != nil {
-		n = c.input.Buffered() + len(c.answer)
+		n = c.input.MemoryBytes() + cap(c.answer)
 	}
 	c.pool.answerBytes += n - c.answerBytes
 	c.answerBytes = n
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -179,7 +179,7 @@
 		c.loopConn.Close(closeUnexpectedInput)
 		return
 	}
-	c.input.Feed(b)
+	c.input.Borrow(b)
 	for c.state == startingUp || c.state == busy {
 		m, ok, err := c.parser.Next(&c.input)
 		if err != nil {
@@ -187,6 +187,7 @@
 			return
 		}
 		if !ok {
+			c.input.Reserve(c.input.IncompleteSize())
 			break
 		}
 		c.handleMessage(m)
@@ -198,6 +199,7 @@
 		p.abort(c.attempt, beechgrade.Failed)
 		return
 	}
+	c.input.Keep()
 	c.resetStallTimer()
 }
 
--- a/internal/front/client_limits.go
+++ b/internal/front/client_limits.go
@@ -32,9 +32,6 @@
 	maxDiscardedBytes = 1 << 18
 	// maxHalfClosed is the number of clients that may be half-closed at the same time.
 	maxHalfClosed = 16
-	// heldMemoryDivisor limits the data that is held for clients (input that is not processed yet, open requests and unsent
-	// answers) to 1/heldMemoryDivisor of the memory.
-	heldMemoryDivisor = 8
 )
 
 // Reasons for which this side closes a client's connection.
@@ -50,7 +47,8 @@
 	closeIdle loop.Reason = "front.idle"
 	// closeEvicted means that the connection was closed in favour of other clients.
 	closeEvicted loop.Reason = "front.evicted"
-	// closeMemory means that the client holds the most memory while all clients together hold too much.
+	// closeMemory means that the client does not read its answers and holds the most memory of those who do not, while all clients
+	// together hold too much.
 	closeMemory loop.Reason = "front.memory"
 	// closeShutdown means that the process ends.
 	closeShutdown loop.Reason = "front.end"
@@ -99,7 +97,7 @@
 		return stateIdleUnused
 	case s.idle():
 		return stateIdle
-	case len(s.commands) == 0 && s.reader.Buffered() > 0:
+	case len(s.commands) == 0 && !s.reader.AtBoundary():
 		return statePartialMessage
 	}
 	return stateBusy
@@ -120,30 +118,6 @@
 	}
 }
 
-// updateHeldBytes brings the byte counts of the session and of the front up to date.
-func (s *session) updateHeldBytes() {
-	held, open := 0, 0
-	if !s.closed {
-		held = s.reader.Buffered()
-		if s.conn != nil {
-			held += s.conn.UnsentBytes()
-		}
-		for _, c := range s.commands {
-			held += c.bytes
-			if c.open {
-				open += c.bytes
-			}
-		}
-	}
-	s.front.heldBytes += held - s.heldBytes
-	s.front.openRequestBytes += open - s.openRequestBytes
-	s.heldBytes, s.openRequestBytes = held, open
-}
-
-// bytesOutsideRequests returns the bytes held for the client beside its open requests: input that is not processed yet and
-// answers that it has not read.
-func (s *session) bytesOutsideRequests() int { return s.heldBytes - s.openRequestBytes }
-
 // StartSweeps starts the periodic check of clients' connections. It has to be called on the loop.
 func (p *Postgres) StartSweeps() { p.loop.At(p.loop.Now()+sweepIntervalMs, p.sweep) }
 
@@ -169,7 +143,7 @@
 		case s.state == stateStartingUp && s.conn.UnsentBytes() > 0: // the client waits for an answer that is still being sent
 		case (s.state == stateStartingUp || s.state == statePartialMessage) && !s.conn.NoPendingInput():
 			// The rest of the message may have arrived already and is not read yet.
-		case s.state == stateStartingUp && s.reader.Buffered() == 0 && age >= startupTimeoutMs:
+		case s.state == stateStartingUp && s.reader.AtBoundary() && age >= startupTimeoutMs:
 			s.close(closeStartupTimeout)
 		case (s.state == stateIdleUnused || s.state == stateIdle) && age >= idleTimeoutMs && s.conn.NoPendingInput():
 			s.close(closeIdle)
@@ -245,28 +219,3 @@
 	}
 	return false
 }
-
-// openRequestsExceedMemory reports whether open requests hold more than half of the memory allowed for clients. Further
-// requests are then refused.
-func (p *Postgres) openRequestsExceedMemory() bool {
-	return p.openRequestBytes > p.budget.MemoryBytes()/heldMemoryDivisor/2
-}
-
-// enforceMemoryLimit closes connections while all clients together hold too much memory: each time that of the client which
-// holds the most beside its open requests.
-func (p *Postgres) enforceMemoryLimit() {
-	for p.heldBytes > p.budget.MemoryBytes()/heldMemoryDivisor {
-		var largest *session
-		p.sessions.Each(func(_ slots.Ref, s *session) {
-			s.updateHeldBytes() // the client may have read its answers since the last update
-			if largest == nil || s.bytesOutsideRequests() > largest.bytesOutsideRequests() {
-				largest = s
-			}
-		})
-		if largest == nil || largest.bytesOutsideRequests() == 0 || p.heldBytes <= p.budget.MemoryBytes()/heldMemoryDivisor {
-			return
-		}
-		p.log.Warn("a client holds too much", "bytes", largest.heldBytes)
-		largest.close(closeMemory)
-	}
-}
--- a/internal/front/client_limits_test.go
+++ b/internal/front/client_limits_test.go
@@ -181,3 +181,31 @@
 		t.Errorf("%d connections were closed, want none", got)
 	}
 }
+
+// TestLargeRequestWithoutMemoryIsRefused guards against closing a client whose request is read in part when there is no memory for
+// the rest: the request is refused once it is complete, and the connection stays usable.
+func TestLargeRequestWithoutMemoryIsRefused(t *testing.T) {
+	f := newFixture(t, 1<<20) // clients may hold 128 KiB
+	partial, large := f.connect(), f.connect()
+	f.write(partial, request("half", 100<<10)[:70<<10])
+	for received := false; !received; {
+		f.runOnLoop(func() { received = f.front.heldBytes >= 70<<10 })
+	}
+	input := request("large", 100<<10)
+	f.write(large, input[:80<<10])
+	for skipped := int64(0); skipped == 0; {
+		f.runOnLoop(func() { skipped = f.loop.Metrics().Value(metrics.ClientLimits, "no_memory") })
+	}
+	f.write(large, input[80<<10:])
+	if answer := string(f.read(large, len(refusal(nil, 0)))); answer != string(refusal(nil, 0)) {
+		t.Fatalf("the answer is %q, want a refusal", answer)
+	}
+	f.write(large, request("small", 1))
+	f.runOnLoop(f.nextSubmitted().Failed)
+	if answer := string(f.read(large, len(failure(nil)))); answer != string(failure(nil)) {
+		t.Fatalf("the answer to the next request is %q, want a failure", answer)
+	}
+	if got := f.loop.Metrics().Sum(metrics.Closed); got != 0 {
+		t.Errorf("%d connections were closed, want none", got)
+	}
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -12,6 +12,7 @@
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/metrics"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
 )
@@ -35,8 +36,8 @@
 	maxBatchBytes = 1 << 14
 	// maxErrorBytes is the maximum length of an error's text, which may quote what the client has sent.
 	maxErrorBytes = 512
-	// maxKeptBufferBytes is the capacity up to which a session keeps its buffer from one answer to the next.
-	maxKeptBufferBytes = 1 << 14
+	// maxKeptBufferBytes is the capacity up to which a buffer is kept to build further messages. It holds the largest values.
+	maxKeptBufferBytes = 1 << 17
 )
 
 // SQLSTATE codes.
@@ -66,6 +67,8 @@
 	protocolErrors   limiter
 	batching         *session // the session whose commands are being processed
 	batch            []byte   // messages to that session, which are written together
+	scratch          []byte   // reused to build messages
+	enforcingMemory  bool     // the loop calls enforceMemoryLimit
 }
 
 // NewPostgres returns a front end that passes requests to handler. The guard checks that no connection is closed with requests
@@ -92,7 +95,7 @@
 func (p *Postgres) HasPendingWork() bool {
 	pending := false
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		pending = pending || len(s.commands) > 0 || s.wait == throttled && s.reader.Buffered() > 0 || s.conn != nil &&
+		pending = pending || len(s.commands) > 0 || s.wait == throttled && !s.reader.AtBoundary() || s.conn != nil &&
 			(s.conn.UnsentBytes() > 0 || !s.ended && !s.conn.NoPendingInput())
 	})
 	return pending
@@ -142,13 +145,14 @@
 	closed           bool
 	processTimer     *deadline.Timer // calls processCommands
 	wait             wait            // why received commands are not processed yet
+	turnDeferred     bool            // the loop calls nextTurn
 	answers          limiter         // the session's own share of commands that are answered without a server
 	encryptionAsked  int             // number of encryption requests
-	buf              []byte          // reused to build messages
 	stateSince       float64         // when the client connected, started up, was answered, began a message or was half-closed
 	sendStalledSince float64         // since when there have been unsent bytes at each sweep, 0 if there are none
 	heldBytes        int             // the session's part of Postgres.heldBytes
 	openRequestBytes int             // the session's part of Postgres.openRequestBytes
+	unreadBytes      int             // bytes of answers that the client has not read, as of the last updateHeldBytes
 	discardedBytes   int             // bytes received after ended was set
 	state            clientState     // as of the last updateState
 	listElement      *list.Element   // in Postgres.sessionsByState
@@ -178,7 +182,7 @@
 // idle reports whether the session is open, with nothing to process, to answer or to send.
 func (s *session) idle() bool {
 	return !s.closed && !s.ended && s.conn != nil && len(s.commands) == 0 &&
-		s.reader.Buffered() == 0 && s.conn.UnsentBytes() == 0
+		s.reader.AtBoundary() && s.conn.UnsentBytes() == 0
 }
 
 // Opened implements loop.Handler.
@@ -205,13 +209,12 @@
 	}
 	now := s.front.loop.Now()
 	arrivedAt := min(now, s.conn.EarliestArrival())
-	if s.started && len(s.commands) == 0 && s.reader.Buffered() == 0 {
+	if s.started && len(s.commands) == 0 && s.reader.AtBoundary() {
 		s.stateSince = now
 	}
-	s.reader.Feed(b)
+	s.reader.Borrow(b)
 	s.arrivals.add(len(b), arrivedAt)
 	s.processCommands()
-	s.front.enforceMemoryLimit()
 }
 
 // wait is why received commands of a client are not processed yet.
@@ -224,32 +227,30 @@
 	throttled       // the client has been sent too many answers that need no server
 )
 
-// recheckMs returns the time in milliseconds after which processCommands is called again, or 0 if it is not.
-func (w wait) recheckMs() float64 {
-	switch w {
-	case unreadFull:
-		return unsentRecheckMs
-	case throttled:
-		return throttleRecheckMs
+// readAheadBytes returns the number of unprocessed bytes at which reading stops while the client's commands wait.
+func (s *session) readAheadBytes() int {
+	switch {
+	case s.wait == noWait:
+		return math.MaxInt
+	case s.wait == throttled || s.front.memoryScarce():
+		return 1
 	}
-	return 0
+	return maxReadAheadBytes
 }
 
-// readAheadBytes returns the number of unprocessed bytes at which reading stops during the wait.
-func (w wait) readAheadBytes() int {
-	switch w {
-	case noWait:
-		return math.MaxInt
-	case throttled:
+// queueLimit returns the number of unanswered commands that each client may have. While memory is scarce it is 1, because the
+// answers to further ones would wait in memory.
+func (p *Postgres) queueLimit() int {
+	if p.memoryScarce() {
 		return 1
 	}
-	return maxReadAheadBytes
+	return maxQueuedCommands
 }
 
 // currentWait returns why the next command has to wait.
 func (s *session) currentWait() wait {
 	switch {
-	case len(s.commands) >= maxQueuedCommands:
+	case len(s.commands) >= s.front.queueLimit():
 		return queueFull
 	case s.started && s.conn.UnsentBytes() > maxUnsentBytes:
 		return unreadFull
@@ -266,8 +267,10 @@
 	case s.closed || s.conn == nil:
 	case s.ended && !s.halfClosed: // no more commands are accepted, and the final message is not sent yet
 		s.conn.SetReadLimit(0)
-	case !s.ended && s.reader.Buffered() >= s.wait.readAheadBytes():
+	case !s.ended && s.reader.Buffered() >= s.readAheadBytes():
 		s.conn.SetReadLimit(0)
+	case !s.ended && s.front.memoryScarce() && s.reader.IncompleteSize() <= smallMessageBytes:
+		s.conn.SetReadLimit(scarceReadBytes)
 	default:
 		s.conn.SetReadLimit(maxReadBytes)
 	}
@@ -280,6 +283,7 @@
 	s.front.batching = s
 	s.processReceived()
 	s.flush()
+	s.reader.Keep()
 	if s.front.draining && s.started && s.idle() && s.conn.NoPendingInput() {
 		s.close(closeDrain)
 	}
@@ -289,9 +293,7 @@
 func (s *session) processReceived() {
 	for !s.closed && !s.ended {
 		if s.wait = s.currentWait(); s.wait != noWait {
-			if recheckMs := s.wait.recheckMs(); recheckMs > 0 {
-				s.processAfter(recheckMs)
-			}
+			s.scheduleRecheck()
 			return
 		}
 		result, err := s.processCommand()
@@ -307,6 +309,30 @@
 	}
 }
 
+// scheduleRecheck has processCommands called again when the reason of the wait may have ended. If the queue is full, the next
+// answer does that.
+func (s *session) scheduleRecheck() {
+	switch s.wait {
+	case unreadFull:
+		s.processAfter(unsentRecheckMs)
+	case throttled:
+		s.front.loop.Metrics().Add(metrics.ClientLimits, "throttled")
+		s.processAfter(throttleRecheckMs)
+	}
+}
+
+// processNextTurn has processCommands called once the events of all connections have been handled.
+func (s *session) processNextTurn() {
+	if s.turnDeferred {
+		return
+	}
+	s.turnDeferred = true
+	s.front.loop.Defer(func() {
+		s.turnDeferred = false
+		s.processCommands()
+	})
+}
+
 // processAfter schedules a call of processCommands and cancels the one scheduled before.
 func (s *session) processAfter(ms float64) {
 	l := s.front.loop
@@ -333,12 +359,20 @@
 		return commandIncomplete, fmt.Errorf("%w: type %q", pgwire.ErrMalformed, typ)
 	}
 	message, ok, err := s.reader.Next()
-	if err != nil || !ok {
+	if err != nil {
 		return commandIncomplete, err
 	}
-	arrivedAt := s.arrivals.consume(len(message.Raw))
+	if !ok {
+		s.reserveMemory()
+		return commandIncomplete, nil
+	}
+	arrivedAt := s.arrivals.consume(message.Size)
 	switch message.Type {
 	case 'Q':
+		if message.Skipped {
+			s.enqueue(0).refuseForMemory()
+			return commandAnswered, nil
+		}
 		sql, err := pgwire.ParseText(message.Body)
 		if err != nil {
 			return commandIncomplete, err
@@ -348,17 +382,17 @@
 		s.stopAccepting().respond(nil)
 	case 'S': // Sync
 		s.skipUntilSync = false
-		s.respond(pgwire.AppendReady(s.buf[:0]))
+		s.respond(pgwire.AppendReady(s.front.scratch[:0]))
 	default: // the extended protocol
 		if s.skipUntilSync {
 			break
 		}
 		s.skipUntilSync = message.Type != 'F'
-		s.buf = pgwire.AppendError(s.buf[:0], "ERROR", codeUnsupported, "only simple queries are taken", "")
+		response := pgwire.AppendError(s.front.scratch[:0], "ERROR", codeUnsupported, "only simple queries are taken", "")
 		if message.Type == 'F' {
-			s.buf = pgwire.AppendReady(s.buf)
+			response = pgwire.AppendReady(response)
 		}
-		s.respond(s.buf)
+		s.respond(response)
 	}
 	return commandAnswered, nil
 }
@@ -368,12 +402,11 @@
 
 // processStartup processes a startup message, an encryption request or a cancel request.
 func (s *session) processStartup() (commandResult, error) {
-	buffered := s.reader.Buffered()
-	kind, ok, err := s.reader.Startup()
+	kind, size, ok, err := s.reader.Startup()
 	if err != nil || !ok {
 		return commandIncomplete, err
 	}
-	s.arrivals.consume(buffered - s.reader.Buffered())
+	s.arrivals.consume(size)
 	switch kind {
 	case pgwire.StartupEncrypt:
 		if s.encryptionAsked++; s.encryptionAsked > maxEncryptionRequests {
@@ -384,7 +417,7 @@
 		s.close(closeCancel)
 	default:
 		s.started, s.stateSince = true, s.front.loop.Now()
-		s.send(pgwire.AppendStartupReply(s.buf[:0]))
+		s.send(pgwire.AppendStartupReply(s.front.scratch[:0]))
 	}
 	return commandAnswered, nil
 }
@@ -394,10 +427,10 @@
 	keyword, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
 	switch strings.ToUpper(keyword) {
 	case "":
-		s.respond(pgwire.AppendReady(pgwire.AppendEmpty(s.buf[:0])))
+		s.respond(pgwire.AppendReady(pgwire.AppendEmpty(s.front.scratch[:0])))
 		return commandAnswered
 	case "SET", "RESET", "DISCARD": // these have no effect, as on the servers
-		s.respond(pgwire.AppendReady(pgwire.AppendComplete(s.buf[:0], strings.ToUpper(keyword))))
+		s.respond(pgwire.AppendReady(pgwire.AppendComplete(s.front.scratch[:0], strings.ToUpper(keyword))))
 		return commandAnswered
 	}
 	stmt, err := pgwire.ParseStatement(sql)
@@ -410,10 +443,10 @@
 	if stmt.AfterMs > 0 {
 		request.MinPosition = clock.FromUnix(stmt.AfterMs)
 	}
-	cmd := s.enqueue(len(sql))
-	cmd.open = true
+	cmd := s.enqueue(len(sql) + openCommandBytes)
+	cmd.open, cmd.isWrite = true, stmt.IsWrite
 	if s.updateHeldBytes(); s.front.openRequestsExceedMemory() {
-		cmd.Refused(min(manyClientsIdleMs, s.front.budget.MaxRetryAfterMs))
+		cmd.refuseForMemory()
 		return commandAnswered
 	}
 	ref, err := s.front.handler.Submit(request, cmd)
@@ -433,11 +466,10 @@
 	return commandForwarded
 }
 
-// send writes a message to the client, or adds it to the batch while the session's commands are processed. Its memory becomes
-// the session's buffer unless it is larger than maxKeptBufferBytes.
+// send writes a message to the client, or adds it to the batch while the session's commands are processed.
 func (s *session) send(message []byte) {
-	if s.buf = message; cap(message) > maxKeptBufferBytes {
-		s.buf = nil
+	if c := cap(message); c > cap(s.front.scratch) && c <= maxKeptBufferBytes {
+		s.front.scratch = message[:0]
 	}
 	switch {
 	case s.closed || len(message) == 0:
@@ -486,7 +518,7 @@
 // errorResponse returns the answer to a command that is not accepted as a request. It uses the session's buffer.
 func (s *session) errorResponse(code string, err error) []byte {
 	text := err.Error()
-	return pgwire.AppendReady(pgwire.AppendError(s.buf[:0], "ERROR", code, text[:min(len(text), maxErrorBytes)], ""))
+	return pgwire.AppendReady(pgwire.AppendError(s.front.scratch[:0], "ERROR", code, text[:min(len(text), maxErrorBytes)], ""))
 }
 
 // fatal ends the session with an error message because the client has violated the protocol. The message is held back while
@@ -496,7 +528,7 @@
 		return
 	}
 	cmd := s.stopAccepting()
-	respond := func() { cmd.respond(pgwire.AppendError(s.buf[:0], "FATAL", code, text, "")) }
+	respond := func() { cmd.respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", code, text, "")) }
 	if delayMs := s.errorDelayMs(); delayMs > 0 {
 		s.front.loop.At(s.front.loop.Now()+delayMs, respond)
 		return
@@ -506,7 +538,7 @@
 
 // turnAway ends the session of a client for which there is no room, and advises it to connect again after retryMs.
 func (s *session) turnAway(retryMs float64) {
-	s.stopAccepting().respond(pgwire.AppendError(s.buf[:0], "FATAL", codeRefused, "too many clients", retryDetail(retryMs)))
+	s.stopAccepting().respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", codeRefused, "too many clients", retryDetail(retryMs)))
 }
 
 // stopAccepting stops accepting commands. The connection ends after the response to the returned command.
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -15,9 +15,10 @@
 	ref         slots.Ref // of its request, valid while open is set
 	open        bool      // its request has no answer yet
 	responded   bool
-	bytes       int    // length of its statement while open is set, then of response
+	bytes       int    // memory that it takes: its statement's and its own while open is set, then the length of response
 	response    []byte // the answer, while it waits for those to earlier commands
 	endsSession bool   // the connection ends after the response
+	isWrite     bool   // it is a request that may have an effect
 }
 
 // enqueue adds a command whose statement has the given length in bytes.
@@ -35,12 +36,12 @@
 	}
 	c.responded, c.open = true, false
 	if s.commands[0] != c {
-		c.response = append([]byte(nil), response...)
+		c.response = append([]byte(nil), s.front.boundedResponse(c, response)...)
 		c.bytes = len(c.response)
 		s.updateHeldBytes()
 		return
 	}
-	queueWasFull := len(s.commands) >= maxQueuedCommands
+	queueWasFull := s.wait == queueFull
 	s.commands = s.commands[1:]
 	s.send(response)
 	for endsSession := c.endsSession; !s.closed; {
@@ -62,8 +63,8 @@
 	if len(s.commands) == 0 {
 		s.commands = nil
 	}
-	if queueWasFull && s.reader.Buffered() > 0 || s.front.draining {
-		s.processAfter(0) // in a call of its own, so that the caller finishes first
+	if queueWasFull && !s.reader.AtBoundary() || s.front.draining {
+		s.processNextTurn() // in a call of its own, so that the caller finishes first
 	}
 	s.updateState()
 	s.restartIdleTime()
@@ -72,13 +73,15 @@
 
 // Served implements Client.
 func (c *command) Served(answer []byte) {
-	c.respond(pgwire.AppendReady(append(c.session.buf[:0], answer...)))
+	c.respond(pgwire.AppendReady(append(c.session.front.scratch[:0], answer...)))
 }
 
 // Refused implements Client.
-func (c *command) Refused(retryMs float64) {
-	c.respond(pgwire.AppendReady(pgwire.AppendError(c.session.buf[:0], "ERROR", codeRefused, "no server can take this now",
-		retryDetail(retryMs))))
+func (c *command) Refused(retryMs float64) { c.respond(refusal(c.session.front.scratch[:0], retryMs)) }
+
+// refusal appends the answer to a request that was refused.
+func refusal(dst []byte, retryMs float64) []byte {
+	return pgwire.AppendReady(pgwire.AppendError(dst, "ERROR", codeRefused, "no server can take this now", retryDetail(retryMs)))
 }
 
 // Connected implements Client.
@@ -93,9 +96,11 @@
 }
 
 // Failed implements Client.
-func (c *command) Failed() {
-	c.respond(pgwire.AppendReady(pgwire.AppendError(c.session.buf[:0], "ERROR", codeFailed,
-		"the request failed; it may have had an effect", "")))
+func (c *command) Failed() { c.respond(failure(c.session.front.scratch[:0])) }
+
+// failure appends the answer to a request that failed.
+func failure(dst []byte) []byte {
+	return pgwire.AppendReady(pgwire.AppendError(dst, "ERROR", codeFailed, "the request failed; it may have had an effect", ""))
 }
 
 // restartIdleTime restarts the time for which the session has been in its state, after an answer.
--- a/internal/front/rate_limit.go
+++ b/internal/front/rate_limit.go
@@ -7,6 +7,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/metrics"
 )
 
 // Limits on the commands that are answered without a server: empty statements, settings, errors and refusals. Requests that are
@@ -78,5 +79,9 @@
 	if s.front.budget.SpareDescriptors() < maxHalfClosed {
 		return 0
 	}
-	return s.front.protocolErrors.delayMs(maxErrorDelayMs)
+	delayMs := s.front.protocolErrors.delayMs(maxErrorDelayMs)
+	if delayMs > 0 {
+		s.front.loop.Metrics().Add(metrics.ClientLimits, "error_delayed")
+	}
+	return delayMs
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,8 +33,8 @@
 // maxPollRetryPauseMs is the longest pause in milliseconds between two passes over all connections while epoll_wait fails.
 const maxPollRetryPauseMs = 10
 
-// readBufferSize is the largest number of bytes that one read returns.
-const readBufferSize = 1 << 16
+// readBufferSize is the largest number of bytes that one read returns. An answer with the largest value fits in.
+const readBufferSize = 1 << 17
 
 // Loop is the event loop. Now, At, StopTimer and the methods of Conn may only be called by functions that run on it. Post may be
 // called from any goroutine.
@@ -55,6 +55,7 @@
 	poller       *poller
 	listener     listener
 	timers       deadline.Heap
+	deferred     []func() // run once all events of the present poll are handled
 	conns        slots.Table[*Conn]
 	lastConnID   uint64 // number of connections created so far
 	readBuffer   []byte
@@ -99,6 +100,7 @@
 			l.handleEvent(&events[i])
 			l.runPending()
 		}
+		l.runDeferred()
 		l.runPending()
 	}
 	l.listener.close(l)
@@ -157,6 +159,7 @@
 		c.retryIO()
 		l.runPending()
 	})
+	l.runDeferred()
 	l.runPending()
 }
 
@@ -176,10 +179,10 @@
 	}
 }
 
-// pollTimeoutMs returns the time in milliseconds until the next timer expires, rounded up, -1 if no timer is set, or 0 during
-// shutdown.
+// pollTimeoutMs returns the time in milliseconds until the next timer expires, rounded up, -1 if no timer is set, or 0 if functions
+// are deferred or during shutdown.
 func (l *Loop) pollTimeoutMs() int {
-	if l.shuttingDown {
+	if l.shuttingDown || len(l.deferred) > 0 {
 		return 0
 	}
 	at, ok := l.timers.Next()
@@ -197,6 +200,15 @@
 	l.timers.Run(l.clk.Now())
 }
 
+// runDeferred runs the deferred functions. Those that are deferred meanwhile wait until the next poll.
+func (l *Loop) runDeferred() {
+	deferred := l.deferred
+	l.deferred = nil
+	for _, f := range deferred {
+		f()
+	}
+}
+
 func (l *Loop) takePosted() []func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -248,6 +260,10 @@
 // Now returns the time in milliseconds.
 func (l *Loop) Now() float64 { return l.clk.Now() }
 
+// Defer schedules f to run on the loop after all events that the present poll has returned, or after the next poll if called by a
+// deferred function. It lets a long piece of work be done in turns with the events of all connections.
+func (l *Loop) Defer(f func()) { l.deferred = append(l.deferred, f) }
+
 // At schedules f to run on the loop at the given time in milliseconds.
 func (l *Loop) At(ms float64, f func()) *deadline.Timer { return l.timers.Add(ms, f) }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 	Requests       Family = "requests"        // ended requests by outcome [served, refused, failed, gone]
 	Attempts       Family = "attempts"        // ended attempts by result [ok, reset, ...]
 	Unsent         Family = "unsent"          // attempts that could not be sent any more, by reason [client_gone, ...]
+	ClientLimits   Family = "client_limits"   // limits that clients have met [no_memory, throttled, error_delayed]
 	Connections    Family = "connections"     // accepted connections and started dials [accepted, dialled]
 	Closed         Family = "closed"          // closed connections by owner and reason [front.idle, ...]
 	SyscallErrors  Family = "syscall_errors"  // failed system calls by call and error [accept4.EMFILE, ...]
@@ -23,7 +24,7 @@
 	Violations     Family = "violations"      // violated invariants [names of package invariant's rules]
 )
 
-var families = []Family{Requests, Attempts, Unsent, Connections, Closed, SyscallErrors, States, DiscoveryCalls, Violations}
+var families = []Family{Requests, Attempts, Unsent, ClientLimits, Connections, Closed, SyscallErrors, States, DiscoveryCalls, Violations}
 
 // Set holds the counters of one pooler. Its methods may be called from any goroutine; calls of Log must not overlap.
 type Set struct {
