pgwire: bound the length of a request's comment

Cause: a comment could be as long as a message, 256 KiB, and each of its fields was looked at: 1.45 ms for 30,000 fields, during which the loop serves nobody.

Change: a comment has at most 4 KiB, and a statement's first word at most 16 bytes; beyond that it is no request comment, as with an id of over 256 bytes.

--- a/cmd/beechgrade/memory_test.go
+++ b/cmd/beechgrade/memory_test.go
@@ -56,6 +56,12 @@
 var crowds = []crowd{
 	{name: "stop half way", size: 600, send: func(c net.Conn, client int) { _, _ = c.Write(largeWrite(client, 0)[:100<<10]) }},
 	{name: "write slowly", size: 600, requests: 1, send: func(c net.Conn, client int) { sendSlowly(c, largeWrite(client, 0), 4<<10) }},
+	{name: "many fields", size: 300, requests: 2, send: func(c net.Conn, client int) {
+		for n := range 2 {
+			_, _ = c.Write(pgwire.AppendQuery(nil, fmt.Sprintf("SELECT content FROM kv /* %sid=f%d-%d,c=read,d=2000,cluster=0 */",
+				strings.Repeat("a=1,", 30<<10), client, n)))
+		}
+	}},
 	{name: "large requests", size: 300, requests: 4, send: func(c net.Conn, client int) {
 		for n := range 4 {
 			_, _ = c.Write(largeWrite(client, n))
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -424,13 +424,12 @@
 
 // processQuery processes one statement, whose last byte arrived at the given time.
 func (s *session) processQuery(sql string, arrivedAt float64) commandResult {
-	keyword, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
-	switch strings.ToUpper(keyword) {
+	switch keyword := pgwire.Keyword(strings.TrimRight(sql, "; \t\r\n")); keyword {
 	case "":
 		s.respond(pgwire.AppendReady(pgwire.AppendEmpty(s.front.scratch[:0])))
 		return commandAnswered
 	case "SET", "RESET", "DISCARD": // these have no effect, as on the servers
-		s.respond(pgwire.AppendReady(pgwire.AppendComplete(s.front.scratch[:0], strings.ToUpper(keyword))))
+		s.respond(pgwire.AppendReady(pgwire.AppendComplete(s.front.scratch[:0], keyword)))
 		return commandAnswered
 	}
 	stmt, err := pgwire.ParseStatement(sql)
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -19,6 +19,10 @@
 	maxTimeoutMs = 24 * 3600 * 1000
 	// maxNameBytes is the maximum length of a request's id or class.
 	maxNameBytes = 256
+	// maxCommentBytes is the maximum length of a request's comment.
+	maxCommentBytes = 4096
+	// maxKeywordBytes is the number of bytes in which a statement's first word has to end.
+	maxKeywordBytes = 16
 )
 
 // Statement is a client's statement with the parameters in its comment.
@@ -38,13 +42,12 @@
 // ParseStatement parses a statement and the comment at its end. It ignores unknown keys in the comment.
 func ParseStatement(sql string) (Statement, error) {
 	body := strings.TrimRight(sql, "; \t\r\n")
-	commentStart := strings.LastIndex(body, "/*")
+	commentStart := lastComment(body)
 	if commentStart < 0 || !strings.HasSuffix(body, "*/") || len(body) < commentStart+4 {
 		return Statement{}, ErrNoComment
 	}
 	stmt := Statement{}
-	keyword, _, _ := strings.Cut(strings.TrimLeft(body, " \t\r\n"), " ")
-	switch strings.ToUpper(keyword) {
+	switch Keyword(body) {
 	case "SELECT":
 	case "INSERT", "UPDATE", "DELETE":
 		stmt.IsWrite = true
@@ -110,6 +113,23 @@
 	return stmt, nil
 }
 
+// lastComment returns the offset of the last comment, or -1 if there is none of up to maxCommentBytes at the end.
+func lastComment(sql string) int {
+	searchFrom := max(0, len(sql)-maxCommentBytes)
+	at := strings.LastIndex(sql[searchFrom:], "/*")
+	if at < 0 {
+		return -1
+	}
+	return searchFrom + at
+}
+
+// Keyword returns the first word of a statement in capitals, or what the first maxKeywordBytes hold of it.
+func Keyword(sql string) string {
+	trimmed := strings.TrimLeft(sql, " \t\r\n")
+	keyword, _, _ := strings.Cut(trimmed[:min(len(trimmed), maxKeywordBytes)], " ")
+	return strings.ToUpper(keyword)
+}
+
 // AppendQuery appends the statement as a query to a server. The value of key d becomes timeLimitMs, the time for which the
 // pooler waits for the answer.
 func (s *Statement) AppendQuery(dst []byte, timeLimitMs int) []byte {
