Loop: do not report that a poll of one socket was interrupted

Seen: with the check of a client's socket before each attempt, a busy pooler logs "system call failed call=poll err=EINTR" (10 in 4 s in a trial).

Cause: the signals with which Go's runtime preempts goroutines interrupt poll, which is not restarted. It is tried again at once and nothing is wrong.

Change: EINTR of this call is neither counted nor logged.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -331,7 +331,9 @@
 		if err == nil {
 			return n > 0 && pollFDs[0].Revents&peerClosedEvents != 0
 		}
-		c.loop.recordFailure("poll", err)
+		if !errors.Is(err, unix.EINTR) { // which the signals of the Go runtime cause as well
+			c.loop.recordFailure("poll", err)
+		}
 	}
 	return false
 }
