Front: probe clients that are not read, so that their close is seen in time

Cause: the end of the stream lies behind data that still waits in the client's own socket, because the pooler's receive window is full. Neither EPOLLRDHUP nor poll can see it, and attempts that wait for a connection to a server start later.

The system of a client that has closed its connection answers with a reset, which ends the connection here. A client that closes with answers unread sends a reset by itself.

--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -142,6 +142,8 @@
 	halfClosed       bool // the final message is sent and the sending direction is closed
 	closed           bool
 	processTimer     *deadline.Timer // calls processCommands
+	probeTimer       *deadline.Timer // calls probe
+	readStopped      bool            // nothing is read from the client
 	wait             wait            // why received commands are not processed yet
 	turnDeferred     bool            // the loop calls nextTurn
 	answers          limiter         // the session's own share of commands that are answered without a server
@@ -261,17 +263,27 @@
 // updateReadLimit stops reading from a client whose commands wait and which is far ahead of its answers, so that the rest waits
 // in the socket and the client is held back. A command that was read could only be dropped if there were no room for it.
 func (s *session) updateReadLimit() {
+	if s.closed || s.conn == nil {
+		return
+	}
+	limit := s.readLimit()
+	s.conn.SetReadLimit(limit)
+	if s.readStopped = limit == 0; s.readStopped {
+		s.scheduleProbe()
+	}
+}
+
+// readLimit returns the largest number of bytes that may be read from the client at once.
+func (s *session) readLimit() int {
 	switch {
-	case s.closed || s.conn == nil:
 	case s.ended && !s.halfClosed: // no more commands are accepted, and the final message is not sent yet
-		s.conn.SetReadLimit(0)
+		return 0
 	case !s.ended && s.reader.Buffered() >= s.readAheadBytes():
-		s.conn.SetReadLimit(0)
+		return 0
 	case s.ended || s.reader.Reserved() || s.reader.Skipping():
-		s.conn.SetReadLimit(maxLargeReadBytes)
-	default:
-		s.conn.SetReadLimit(maxReadBytes)
+		return maxLargeReadBytes
 	}
+	return maxReadBytes
 }
 
 // processCommands processes the commands that have been received and writes the answers to those that need no server. A command
@@ -556,6 +568,7 @@
 	s.closed = true
 	s.front.sessions.Delete(s.ref)
 	s.front.loop.StopTimer(s.processTimer)
+	s.front.loop.StopTimer(s.probeTimer)
 	s.updateState()
 	s.abandonRequests()
 }
