Core: reject the id of a write that was abandoned and may have run

Cause: a request whose client has left is over once its attempts are cancelled, which does not stop the statement at the server. Its id was then free.

--- a/cmd/beechgrade/departed_test.go
+++ b/cmd/beechgrade/departed_test.go
@@ -79,3 +79,34 @@
 		break
 	}
 }
+
+// TestAbandonedWriteIsNotSentAgain guards against running a write twice: its client leaves before the answer, and the same id comes
+// again on a new connection.
+func TestAbandonedWriteIsNotSentAgain(t *testing.T) {
+	addr, queries := startServer(t)
+	p := startProcess(t, addr)
+	departing := connect(t, p.addr)
+	departing.send(query("twice", "write", 2000))
+	first := nextQuery(t, queries)
+	_ = departing.Close()
+	time.Sleep(attemptGrace)
+	client := connect(t, p.addr)
+	client.send(query("twice", "write", 2000))
+	client.wantAnswer("EZ 42601")
+	first.send(row("v"))
+	time.Sleep(attemptGrace)
+	client.send(query("twice", "write", 2000))
+	client.wantAnswer("EZ 42601")
+	client.send(query("other", "write", 2000))
+	for q := nextQuery(t, queries); ; q = nextQuery(t, queries) {
+		if q.sql == "(gone)" {
+			continue
+		}
+		if !strings.Contains(q.sql, "id=other,") {
+			t.Fatalf("the server received %q, want only the request with id \"other\"", q.sql)
+		}
+		q.send(row("w"))
+		break
+	}
+	client.wantAnswer("TDCZ w")
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 var (
 	ErrUnknownClass     = errors.New("no such class")
 	ErrDuplicateID      = errors.New("a request of this id is open")
+	ErrAbandonedID      = errors.New("a request of this id was abandoned and may have run")
 	ErrWriteInReadClass = errors.New("a write in a class of reads")
 	ErrShutDown         = errors.New("the service has ended")
 )
@@ -66,7 +67,8 @@
 	machineTypeNumbers numbering
 
 	requests       slots.Table[*request]
-	openIDs        map[string]bool     // client IDs of the requests in the table
+	openIDs        map[string]bool // client IDs of the requests in the table
+	abandoned      *abandonedIDs
 	queue          []queuedEvent       // events for the router, cleared once all are handled
 	latestDeadline float64             // limit for the deadlines of new requests, in milliseconds on the loop's clock, 0 for none
 	handling       bool                // deliverAt is processing the queue
@@ -84,7 +86,7 @@
 // New returns the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
-		guard: invariant.New(log, l.Metrics()), classNumbers: map[string]int{}, openIDs: map[string]bool{},
+		guard: invariant.New(log, l.Metrics()), classNumbers: map[string]int{}, openIDs: map[string]bool{}, abandoned: newAbandonedIDs(),
 		zoneNumbers: newNumbering(cfg.Zones), machineTypeNumbers: newNumbering(cfg.MachineTypes)}
 	for i, name := range cfg.Classes {
 		c.classNumbers[name] = i
@@ -123,6 +125,9 @@
 	if c.openIDs[req.ID] {
 		return slots.Ref{}, fmt.Errorf("id %q: %w", req.ID, ErrDuplicateID)
 	}
+	if c.abandoned.contains(req.ID, c.loop.Now()) {
+		return slots.Ref{}, fmt.Errorf("id %q: %w", req.ID, ErrAbandonedID)
+	}
 	if !c.guard.CheckAccept(req.ID) {
 		return slots.Ref{}, ErrShutDown
 	}
@@ -151,6 +156,9 @@
 		return
 	}
 	req.ended, req.reason = true, reason
+	if req.atMostOnce && req.firstRunAt() > 0 {
+		c.abandoned.add(req.id, c.loop.Now())
+	}
 	c.recordEnd(req, "gone")
 	c.release(ref, req)
 	c.deliver(&beechgrade.Abandoned{ID: requestID(ref)})
