Router: remember sessions by a hash of their key, not by the key

Cause: the last commits of up to 20,000 sessions were kept by their whole keys, which may have 64 KiB each.

Change: the key of the table is a hash of 64 bits. Sessions with the same hash count as one and wait for the later commit of both, so no read is too old. The hash does not differ between processes, so decisions stay as they were.

--- a/router_test.go
+++ b/router_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 )
@@ -311,8 +313,8 @@
 	got = h.handle(&Request{ID: "r2", Class: classSession, Deadline: h.now + time.Second, Session: "s2"})
 	h.wantSend(append(got, h.advance(2*housekeepingInterval)...), "r2", "p")
 	for i := range maxSessions + 1 {
-		h.r.rememberCommit(fmt.Sprint(i), Report{Position: h.now, HasPosition: true})
-		h.r.rememberCommit(fmt.Sprint("more", i), Report{Position: h.now, HasPosition: true})
+		h.r.rememberCommit(hashOfSession(fmt.Sprint(i)), Report{Position: h.now, HasPosition: true})
+		h.r.rememberCommit(hashOfSession(fmt.Sprint("more", i)), Report{Position: h.now, HasPosition: true})
 	}
 	if n := len(h.r.sessionCommits); n > maxSessions {
 		t.Errorf("%d sessions stored, want at most maxSessions", n)
@@ -322,6 +324,33 @@
 	}
 }
 
+// TestLongSessionKeysAreNotKept guards against memory that grows with the length of sessions' keys: 1,000 sessions with keys of 64 KiB
+// have written, and their keys may not stay in memory.
+func TestLongSessionKeysAreNotKept(t *testing.T) {
+	const sessions, keyBytes = 1000, 64 << 10
+	h := newGroupHarness(t, func(s *Settings) { s.TrackCommits = true })
+	heapBytes := func() uint64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := heapBytes()
+	for i := range sessions {
+		id := RequestID(fmt.Sprint(i))
+		key := strings.Repeat(fmt.Sprintf("%08d", i), keyBytes/8)
+		h.handle(&Request{ID: id, Class: classWrite, Deadline: h.now + time.Second, Session: key})
+		h.handle(&Outcome{ID: id, Server: "p", Final: true, Report: Report{Role: RolePrimary, Position: h.now, HasPosition: true}})
+	}
+	if n := len(h.r.sessionCommits); n != sessions {
+		t.Errorf("%d sessions are remembered, want %d", n, sessions)
+	}
+	if grown := int64(heapBytes()) - int64(before); grown > sessions*1024 {
+		t.Errorf("the memory has grown by %d bytes for %d sessions, want at most 1 KiB for each", grown, sessions)
+	}
+	runtime.KeepAlive(h)
+}
+
 // TestEstimatedPositionIsUnusedWhereReplicasServeStale guards against stale answers. A replica whose reported
 // position is too old may get a read because its data is probably new enough by now, but only if it would
 // reject or delay the read otherwise.
--- a/state.go
+++ b/state.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"hash/fnv"
+	"io"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -28,8 +30,8 @@
 	sortedGroups  []*group // by number
 	requests      map[RequestID]*request
 
-	sessionCommits  map[string]Time // last commit of each session, if TrackCommits is set
-	forgottenCommit Time            // latest commit among the sessions dropped from sessionCommits
+	sessionCommits  map[sessionHash]Time // last commit of each session, if TrackCommits is set
+	forgottenCommit Time                 // latest commit among the sessions dropped from sessionCommits
 
 	minLatencyTarget      time.Duration // smallest latency target of all classes
 	inFlight              int           // attempts in flight
@@ -142,7 +144,7 @@
 	arrived          Time
 	deadline         Time
 	targetTime       Time // the latency target as a point in time
-	session          string
+	session          sessionHash
 	minPosition      Time // for session reads: position that a server must have reached
 	value            float64
 	admissionDraw    float64 // random number from 0 to 1, by which a cold server admits requests
@@ -365,9 +367,19 @@
 	r.requestRate, r.primaryWorkRate = r.requestSum/max(r.rateSpan, 1), r.primaryWorkSum/max(r.rateSpan, 1)
 }
 
+// sessionHash identifies a session by the hash of its key, which may be long. Sessions with the same hash count as one, so that each
+// waits for the commits of both.
+type sessionHash uint64
+
+func hashOfSession(key string) sessionHash {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, key) // never fails
+	return sessionHash(h.Sum64())
+}
+
 // rememberCommit records the position of a session's last commit, or the time of the answer if that holds no position. When
 // the table is full it is emptied; from then on a dropped session counts as having committed as late as any dropped one.
-func (r *Router) rememberCommit(session string, report Report) {
+func (r *Router) rememberCommit(session sessionHash, report Report) {
 	position := r.now
 	if report.HasPosition {
 		position = report.Position
@@ -376,7 +388,7 @@
 		for _, t := range r.sessionCommits {
 			r.forgottenCommit = max(r.forgottenCommit, t)
 		}
-		r.sessionCommits = map[string]Time{}
+		r.sessionCommits = map[sessionHash]Time{}
 	}
 	r.sessionCommits[session] = max(position, r.sessionCommits[session])
 }
