Front: split what is read and what is sent from the sessions; count deferred commands as work

No change but one: commands that wait for their next turn count as pending work, so that a drain cannot end in between.

--- a/cmd/beechgrade/process_test.go
+++ b/cmd/beechgrade/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -96,6 +97,28 @@
 	return nil
 }
 
+// changeLimits returns an option of startProcess that sets limits in the configuration of the process.
+func changeLimits(limits map[string]any) func(*process) {
+	return func(p *process) {
+		p.t.Helper()
+		b, err := os.ReadFile(p.config)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		var tree map[string]any
+		if err := json.Unmarshal(b, &tree); err != nil {
+			p.t.Fatal(err)
+		}
+		maps.Copy(tree["limits"].(map[string]any), limits)
+		if b, err = json.Marshal(tree); err != nil {
+			p.t.Fatal(err)
+		}
+		if err := os.WriteFile(p.config, b, 0o600); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
 // memoryLimitKB returns the memory limit in the configuration file, in KiB.
 func (p *process) memoryLimitKB() int {
 	p.t.Helper()
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"strings"
 
 	"beechgrade/internal/clock"
@@ -93,7 +92,8 @@
 func (p *Postgres) HasPendingWork() bool {
 	pending := false
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		pending = pending || len(s.commands) > 0 || s.wait == throttled && !s.reader.AtBoundary() || s.conn != nil &&
+		unprocessed := s.turnDeferred || s.wait == throttled && !s.reader.AtBoundary()
+		pending = pending || len(s.commands) > 0 || unprocessed || s.conn != nil &&
 			(s.conn.UnsentBytes() > 0 || !s.ended && !s.conn.NoPendingInput())
 	})
 	return pending
@@ -145,7 +145,7 @@
 	probeTimer       *deadline.Timer // calls probe
 	readStopped      bool            // nothing is read from the client
 	wait             wait            // why received commands are not processed yet
-	turnDeferred     bool            // the loop calls nextTurn
+	turnDeferred     bool            // the loop calls processCommands after the events that it is handling
 	answers          limiter         // the session's own share of commands that are answered without a server
 	encryptionAsked  int             // number of encryption requests
 	stateSince       float64         // when the client connected, started up, was answered, began a message or was half-closed
@@ -217,75 +217,6 @@
 	s.processCommands()
 }
 
-// wait is why received commands of a client are not processed yet.
-type wait int
-
-const (
-	noWait     wait = iota
-	queueFull       // too many commands are unanswered; the next answer calls processCommands
-	unreadFull      // the client does not read its answers
-	throttled       // the client has been sent too many answers that need no server
-)
-
-// readAheadBytes returns the number of unprocessed bytes at which reading stops while the client's commands wait.
-func (s *session) readAheadBytes() int {
-	switch {
-	case s.wait == noWait:
-		return math.MaxInt
-	case s.wait == throttled || s.front.memoryScarce():
-		return 1
-	}
-	return maxReadAheadBytes
-}
-
-// queueLimit returns the number of unanswered commands that each client may have. While memory is scarce it is 1, because the
-// answers to further ones would wait in memory.
-func (p *Postgres) queueLimit() int {
-	if p.memoryScarce() {
-		return 1
-	}
-	return maxQueuedCommands
-}
-
-// currentWait returns why the next command has to wait.
-func (s *session) currentWait() wait {
-	switch {
-	case len(s.commands) >= s.front.queueLimit():
-		return queueFull
-	case s.started && s.conn.UnsentBytes() > maxUnsentBytes:
-		return unreadFull
-	case !s.mayAnswer():
-		return throttled
-	}
-	return noWait
-}
-
-// updateReadLimit stops reading from a client whose commands wait and which is far ahead of its answers, so that the rest waits
-// in the socket and the client is held back. A command that was read could only be dropped if there were no room for it.
-func (s *session) updateReadLimit() {
-	if s.closed || s.conn == nil {
-		return
-	}
-	limit := s.readLimit()
-	s.conn.SetReadLimit(limit)
-	if s.readStopped = limit == 0; s.readStopped {
-		s.scheduleProbe()
-	}
-}
-
-// readLimit returns the largest number of bytes that may be read from the client at once.
-func (s *session) readLimit() int {
-	switch {
-	case s.ended && !s.halfClosed: // no more commands are accepted, and the final message is not sent yet
-		return 0
-	case !s.ended && s.reader.Buffered() >= s.readAheadBytes():
-		return 0
-	case s.ended || s.reader.Reserved() || s.reader.Skipping():
-		return maxLargeReadBytes
-	}
-	return maxReadBytes
-}
-
 // processCommands processes the commands that have been received and writes the answers to those that need no server. A command
 // does not wait for the answers to earlier commands, but its own answer does.
 func (s *session) processCommands() {
@@ -343,13 +274,6 @@
 	})
 }
 
-// processAfter schedules a call of processCommands and cancels the one scheduled before.
-func (s *session) processAfter(ms float64) {
-	l := s.front.loop
-	l.StopTimer(s.processTimer)
-	s.processTimer = l.At(l.Now()+ms, s.processCommands)
-}
-
 // commandResult is the result of processing the next message.
 type commandResult int
 
@@ -475,91 +399,6 @@
 	return commandForwarded
 }
 
-// send writes a message to the client, or adds it to the batch while the session's commands are processed.
-func (s *session) send(message []byte) {
-	if c := cap(message); c > cap(s.front.scratch) && c <= maxKeptBufferBytes {
-		s.front.scratch = message[:0]
-	}
-	switch {
-	case s.closed || len(message) == 0:
-	case s.front.batching == s:
-		if s.front.batch = append(s.front.batch, message...); len(s.front.batch) > maxBatchBytes {
-			s.writeBatch()
-		}
-	default:
-		_ = s.conn.Write(message) // a failed write closes the connection
-	}
-}
-
-// flush ends the batch of messages and writes it.
-func (s *session) flush() {
-	if s.front.batching != s {
-		return
-	}
-	s.front.batching = nil
-	s.writeBatch()
-}
-
-// writeBatch writes the messages in the batch.
-func (s *session) writeBatch() {
-	batch := s.front.batch
-	s.front.batch = batch[:0]
-	if !s.closed && len(batch) > 0 {
-		_ = s.conn.Write(batch) // a failed write closes the connection
-	}
-}
-
-// respond answers a command that is not a request.
-func (s *session) respond(response []byte) {
-	if len(s.commands) > 0 {
-		s.enqueue(0).respond(response)
-		return
-	}
-	s.send(response)
-	s.restartIdleTime()
-}
-
-// respondError answers a command that is not accepted as a request with an error.
-func (s *session) respondError(code string, err error) {
-	s.respond(s.errorResponse(code, err))
-}
-
-// errorResponse returns the answer to a command that is not accepted as a request. It uses the session's buffer.
-func (s *session) errorResponse(code string, err error) []byte {
-	text := err.Error()
-	return pgwire.AppendReady(pgwire.AppendError(s.front.scratch[:0], "ERROR", code, text[:min(len(text), maxErrorBytes)], ""))
-}
-
-// fatal ends the session with an error message because the client has violated the protocol. The message is held back while
-// there are many such errors.
-func (s *session) fatal(code, text string) {
-	if s.closed || s.ended {
-		return
-	}
-	cmd := s.stopAccepting()
-	respond := func() { cmd.respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", code, text, "")) }
-	if delayMs := s.errorDelayMs(); delayMs > 0 {
-		s.front.loop.At(s.front.loop.Now()+delayMs, respond)
-		return
-	}
-	respond()
-}
-
-// turnAway ends the session of a client for which there is no room, and advises it to connect again after retryMs.
-func (s *session) turnAway(retryMs float64) {
-	s.stopAccepting().respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", codeRefused, "too many clients", retryDetail(retryMs)))
-}
-
-// stopAccepting stops accepting commands. The connection ends after the response to the returned command.
-func (s *session) stopAccepting() *command {
-	s.ended = true
-	s.reader.Reset()
-	s.arrivals = arrivals{}
-	cmd := s.enqueue(0)
-	cmd.endsSession = true
-	return cmd
-}
-
 // Closed implements loop.Handler.
 func (s *session) Closed(error) {
 	if s.closed {
