Loop: count a backlog as having arrived when the first part of it was read

Seen in the code, with the reads of 4 KiB: a request that takes many reads to reach counted from its own read, while it may have been in the socket since the first.

Change: after a read that fills its buffer and leaves data in the socket, what is read next counts as having arrived with it, until the socket is empty.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -166,9 +166,10 @@
 		case err == nil && n > 0:
 			c.transientReadErr = nil
 			c.resetBackoff()
+			readAtMs := c.EarliestArrival()
 			c.handler.Data(buf[:n])
-			if n < len(buf) { // the socket was empty
-				c.earliestArrivalMs = 0
+			if c.earliestArrivalMs = 0; n == len(buf) && !c.NoPendingInput() {
+				c.earliestArrivalMs = readAtMs // the rest may have arrived at the same time
 			}
 			return
 		case err == nil:
@@ -310,7 +311,7 @@
 }
 
 // EarliestArrival returns the earliest time in milliseconds at which the bytes passed to Data may have arrived. It lies in the
-// past if reads or accepts have failed since then, or if the read limit was 0.
+// past if reads or accepts have failed since then, if the read limit was 0, or if the reads before have left data in the socket.
 func (c *Conn) EarliestArrival() float64 {
 	if c.earliestArrivalMs == 0 {
 		return c.loop.Now()
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,6 +108,56 @@
 	}
 }
 
+// arrivalHandler is a Handler that reads 4 bytes at once, which takes 100 ms, and reports the earliest arrival of each piece.
+type arrivalHandler struct {
+	openedHandler
+	clk      *clock.Manual
+	c        *Conn
+	arrivals chan float64
+}
+
+func (h *arrivalHandler) Opened(c *Conn) {
+	h.c = c
+	c.SetReadLimit(4)
+}
+
+func (h *arrivalHandler) Data([]byte) {
+	h.arrivals <- h.c.EarliestArrival()
+	h.clk.Ms += 100
+}
+
+// TestEarliestArrivalOfBacklog guards against telling a server more time than a client has left: what several reads take from the
+// socket may have arrived before the first of them, and only what comes later counts from its own read.
+func TestEarliestArrivalOfBacklog(t *testing.T) {
+	handler := &arrivalHandler{clk: &clock.Manual{Ms: 1000}, arrivals: make(chan float64, 9)}
+	ready, runErr := make(chan struct{}), make(chan error, 1)
+	l := New(handler.clk, slog.New(slog.DiscardHandler), func() Handler { return handler }, func() {})
+	l.OnReady = func() { close(ready) }
+	go func() { runErr <- l.Run("127.0.0.1:0") }()
+	<-ready
+	client, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	var got []float64
+	for _, input := range []string{"0123456789", "01234567", "01"} {
+		if _, err := client.Write([]byte(input)); err != nil {
+			t.Fatal(err)
+		}
+		for range (len(input) + 3) / 4 {
+			got = append(got, <-handler.arrivals)
+		}
+	}
+	if want := []float64{1000, 1000, 1000, 1300, 1300, 1500}; !slices.Equal(got, want) {
+		t.Errorf("arrivals %v, want %v", got, want)
+	}
+	l.Shutdown()
+	if err := <-runErr; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestAddressInUse tests that listenOn fails if another socket listens on the address, and succeeds if only connections in
 // TIME_WAIT are left. The first client must be accepted by the socket that listenOn returns: a separate check whether the address
 // is free would accept and reset it.
