--- a/example/toy/soak.go
+++ b/example/toy/soak.go
@@ -24,6 +24,7 @@
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of runs, one after the other"},
 			&cli.IntFlag{Name: "poolers", Value: 24, Usage: "number of pooler processes in a run"},
 			&cli.IntFlag{Name: "clients", Value: 4, Usage: "number of clients per pooler"},
+			&cli.IntFlag{Name: "bad-clients", Usage: "number of floods and crowds of slow writers in a run"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "length of each run's period in which faults begin"},
 			&cli.StringFlag{Name: "report", Usage: "file for the reports, one JSON object per line"},
 			&cli.StringFlag{Name: "keep", Usage: "directory in which the poolers' configurations and logs are kept"},
@@ -53,7 +54,7 @@
 	for i := range c.Int("runs") {
 		report, err := emulator.Run(ctx, emulator.Options{Program: c.String("program"), Seed: firstSeed + uint64(i),
 			Poolers: c.Int("poolers"), Clients: c.Int("clients"), Length: c.Duration("length"),
-			Log: log, WorkDir: c.String("keep")})
+			BadClients: c.Int("bad-clients"), Log: log, WorkDir: c.String("keep")})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", firstSeed+uint64(i), err)
 		}
--- a/internal/emulator/environment.go
+++ b/internal/emulator/environment.go
@@ -22,13 +22,19 @@
 	Poolers int
 	Clients int           // per pooler
 	Length  time.Duration // of the period in which faults begin
-	Log     *slog.Logger
-	WorkDir string // directory for configurations and logs; a temporary one if empty
+
+	BadClients int // number of faults that consist of bad clients, in addition to the others
+	Log        *slog.Logger
+	WorkDir    string // directory for configurations and logs; a temporary one if empty
 }
 
 // replicasPerGroup is the number of replicas in each group.
 const replicasPerGroup = 3
 
+// badClientsStream is the stream of random numbers for bad clients. It differs from those of the plan, the poolers and the clients,
+// so that a seed gives the same plan with and without bad clients.
+const badClientsStream = 1 << 32
+
 // environment is everything that one run consists of: servers, discovery, poolers, clients and faults.
 type environment struct {
 	opt     Options
@@ -130,7 +136,9 @@
 		}
 	}
 	began := time.Now()
-	for _, fault := range Plan(e.rng, e.opt.Length, e.opt.Poolers, groupCount*(1+replicasPerGroup)) {
+	plan := mergePlans(Plan(e.rng, e.opt.Length, e.opt.Poolers, groupCount*(1+replicasPerGroup)),
+		planBadClients(rand.New(rand.NewPCG(e.opt.Seed, badClientsStream)), e.opt.Length, e.opt.Poolers, e.opt.BadClients))
+	for _, fault := range plan {
 		select {
 		case <-time.After(time.Until(began.Add(fault.At))):
 		case <-ctx.Done():
@@ -214,6 +222,10 @@
 		e.burst.Store(false)
 	case FaultPartialRequest:
 		sendPartialRequest(e.ledger, pooler)
+	case FaultFlood:
+		floodPooler(pooler, floodCommands[fault.Count-1], fault.Duration)
+	case FaultSlowWriters:
+		writeSlowly(pooler)
 	}
 }
 
