Router: remove groups without members and requests while no server is known

Seen in the code, and by a test: while a pooler knows no server at all, each new group that a client names is kept for good, so memory grows with ever new names.

Cause: groups are removed together with their last server; these have none.

Change: while no server is known, the housekeeping run removes groups that have neither members nor waiting requests. With servers nothing changes.

Test: TestGroupsAreNotKeptWithoutServers failed before (1,000 groups left).

--- a/router.go
+++ b/router.go
@@ -891,6 +891,9 @@
 		r.retryStuck(g)
 		r.dispatch(g)
 	}
+	if len(r.servers) == 0 {
+		r.removeEmptyGroups()
+	}
 }
 
 // retryStuck retries requests whose attempt is at a server that is down, or is presumed lost. An attempt is
--- a/router_test.go
+++ b/router_test.go
@@ -324,6 +324,26 @@
 	}
 }
 
+// TestGroupsAreNotKeptWithoutServers guards against memory that grows with each new group that clients name while no server is known.
+func TestGroupsAreNotKeptWithoutServers(t *testing.T) {
+	h := newHarness(t, testSettings())
+	for i := range 1000 {
+		h.handle(&Request{ID: RequestID(fmt.Sprint(i)), Class: classAny, Group: i, Deadline: h.now + time.Second})
+	}
+	h.advance(2 * time.Second) // all are refused
+	if len(h.r.requests) != 0 || len(h.r.groups) != 0 || len(h.r.sortedGroups) != 0 {
+		t.Errorf("%d requests and %d groups (%d sorted) are left, want none", len(h.r.requests), len(h.r.groups),
+			len(h.r.sortedGroups))
+	}
+	h.handle(&List{Kind: ListFull, Entries: []Entry{{Server: "a", Group: 7, Weight: 1}}})
+	if got := ofKind(Send, h.handle(&Request{ID: "new", Class: classAny, Group: 7, Deadline: h.now + time.Second})); len(got) != 1 {
+		got = ofKind(Send, append(h.answerProbe("a", RolePrimary, h.now), h.advance(200*ms)...))
+		if len(got) != 1 {
+			t.Errorf("%d attempts at the new server, want 1", len(got))
+		}
+	}
+}
+
 // TestLongSessionKeysAreNotKept guards against memory that grows with the length of sessions' keys: 1,000 sessions with keys of 64 KiB
 // have written, and their keys may not stay in memory.
 func TestLongSessionKeysAreNotKept(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -307,6 +307,18 @@
 	return g
 }
 
+// removeEmptyGroups removes the groups that have neither members nor waiting requests. While no server is known, every group that a
+// client names is added, so that its requests can wait for a list.
+func (r *Router) removeEmptyGroups() {
+	isEmpty := func(g *group) bool { return len(g.members) == 0 && len(g.waiting) == 0 }
+	r.sortedGroups = slices.DeleteFunc(r.sortedGroups, func(g *group) bool {
+		if isEmpty(g) {
+			delete(r.groups, g.id)
+		}
+		return isEmpty(g)
+	})
+}
+
 // addAttempt records an attempt that is sent.
 func (r *Router) addAttempt(s *server, a *attempt) {
 	s.inFlight = append(s.inFlight, a)
