Front: end throttled clients at the end of a drain

Seen: beside two clients that send empty statements at full speed the process ended 10,011 ms after SIGTERM, where it may be killed after 3,700 ms.

Cause: clients' connections are closed as they rest, and these never do.

Change: once connections are closed as they rest, a client that is throttled gets 57P03 and its session ends. Its commands need no server; before that all are answered.

Test: TestFloodsDoNotDelayTheEnd failed before (10,011 ms, want at most 3,700) and passes.

--- a/cmd/beechgrade/flood_test.go
+++ b/cmd/beechgrade/flood_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -204,6 +205,33 @@
 	}
 }
 
+// killAfterMs is the time in milliseconds after SIGTERM at which a process may be killed: the longest deadline in its configuration
+// and 700 ms.
+const killAfterMs = 3700
+
+// TestFloodsDoNotDelayTheEnd guards against a process that does not end in time after SIGTERM because some clients never rest.
+func TestFloodsDoNotDelayTheEnd(t *testing.T) {
+	addr, queries := startServer(t)
+	go answerAll(queries)
+	p := startProcess(t, addr)
+	stop := make(chan struct{})
+	var flooding sync.WaitGroup
+	for i := range 2 {
+		flooding.Go(func() { floods[1].run(p.addr, i, stop) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	p.signal(syscall.SIGTERM)
+	p.wantCleanExit()
+	close(stop)
+	flooding.Wait()
+	var took float64
+	if _, text, ok := strings.Cut(p.log.String(), "msg=drained pooler=toy ms="); !ok {
+		t.Fatalf("the log has no line on the end of the drain:\n%s", p.log)
+	} else if _, err := fmt.Sscan(text, &took); err != nil || took > killAfterMs {
+		t.Errorf("the process ended %v ms after SIGTERM (error %v), want at most %d", took, err, killAfterMs)
+	}
+}
+
 // TestEncryptionRequestsAreLimited guards against clients that ask for encryption for ever, which are owed an error or the end of
 // the connection. One request for TLS and one for GSSAPI are answered with 'N'.
 func TestEncryptionRequestsAreLimited(t *testing.T) {
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -77,6 +77,11 @@
 	s.stopAccepting().respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", codeRefused, "too many clients", retryDetail(retryMs)))
 }
 
+// endForShutdown ends the session of a client that sends so many commands that it never rests, because the process is about to end.
+func (s *session) endForShutdown() {
+	s.stopAccepting().respond(pgwire.AppendError(s.front.scratch[:0], "FATAL", codeUnavailable, "the service ends", ""))
+}
+
 // stopAccepting stops accepting commands. The connection ends after the response to the returned command.
 func (s *session) stopAccepting() *command {
 	s.ended = true
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -41,6 +41,7 @@
 const (
 	codeProtocol    = "08P01" // protocol_violation
 	codeRefused     = "53300" // too_many_connections
+	codeUnavailable = "57P03" // cannot_connect_now
 	codeFailed      = "58000" // system_error
 	codeSyntax      = "42601" // syntax_error
 	codeUnsupported = "0A000" // feature_not_supported
@@ -233,7 +234,10 @@
 // processReceived processes received commands until they have to wait or none is complete.
 func (s *session) processReceived() {
 	for !s.closed && !s.ended {
-		if s.wait = s.currentWait(); s.wait != noWait {
+		if s.wait = s.currentWait(); s.wait == throttled && s.front.draining {
+			s.endForShutdown()
+			return
+		} else if s.wait != noWait {
 			s.scheduleRecheck()
 			return
 		}
