--- a/router.go
+++ b/router.go
@@ -586,8 +586,8 @@
 		return
 	}
 	q := &request{id: e.ID, class: c, group: r.groupFor(e.Group), arrived: r.now, deadline: e.Deadline,
-		targetTime: min(e.Deadline, r.now+c.LatencyTarget), minPosition: never, session: hashOfSession(e.Session),
-		value: max(c.Value, 1e-6), relativeWork: 1}
+		targetTime: min(e.Deadline, r.now+c.LatencyTarget), minPosition: never,
+		session: hashOfSession(e.Session), value: max(c.Value, 1e-6), relativeWork: 1}
 	if q.usefulUntil = q.targetTime; c.LateFactor > 0 {
 		q.usefulUntil = q.deadline
 	}
